--- /dev/null
+++ b/core/mesh/snapshot.go
@@ -0,0 +1,170 @@
+package mesh
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"auburnladder.example/core/release"
+)
+
+// Snapshot is the configuration of one whole release. It is immutable: the
+// request path reads it through one atomic pointer without locks.
+type Snapshot struct {
+	Version  release.Version
+	KeyID    string
+	services map[string]*Service
+	hosts    map[string][]*Match
+}
+
+// Match is a route together with everything that a call through it needs.
+type Match struct {
+	// Owner is the service whose questionnaire declared the route.
+	Owner    *Service
+	Route    *Route
+	Target   *Service
+	Resource *Resource
+}
+
+// ChunkSource returns the verified bytes of a chunk.
+type ChunkSource func(release.Digest) ([]byte, bool)
+
+// MissingChunkError reports that a chunk of a release isn't at hand.
+type MissingChunkError struct {
+	Ref release.ChunkRef
+}
+
+// Error names the chunk.
+func (e *MissingChunkError) Error() string {
+	return fmt.Sprintf("chunk %q %s is missing", e.Ref.Name, e.Ref.Digest.Short())
+}
+
+// Build decodes and validates every chunk of v and resolves every reference. It
+// returns a complete snapshot or an error, never a part.
+func Build(v *release.Verified, chunks ChunkSource) (*Snapshot, error) {
+	s := &Snapshot{
+		Version:  v.Version,
+		KeyID:    v.KeyID,
+		services: make(map[string]*Service, len(v.Manifest.Chunks)),
+		hosts:    make(map[string][]*Match),
+	}
+	for _, ref := range v.Manifest.Chunks {
+		svc, err := loadService(ref, chunks)
+		if err != nil {
+			return nil, err
+		}
+		s.services[svc.Name] = svc
+	}
+	for _, ref := range v.Manifest.Chunks {
+		if err := s.link(s.services[ref.Name]); err != nil {
+			return nil, err
+		}
+	}
+	for _, matches := range s.hosts {
+		slices.SortStableFunc(matches, func(a, b *Match) int {
+			return len(b.Route.Prefix) - len(a.Route.Prefix)
+		})
+	}
+	return s, nil
+}
+
+func loadService(ref release.ChunkRef, chunks ChunkSource) (*Service, error) {
+	data, found := chunks(ref.Digest)
+	if !found {
+		return nil, &MissingChunkError{Ref: ref}
+	}
+	if len(data) != ref.Size || release.DigestOf(data) != ref.Digest {
+		return nil, fmt.Errorf("chunk %q: content does not match its digest", ref.Name)
+	}
+	svc, err := ParseService(data)
+	if err != nil {
+		return nil, err
+	}
+	if svc.Name != ref.Name {
+		return nil, svc.fail("name", fmt.Sprintf("manifest names this chunk %q", ref.Name))
+	}
+	return svc, nil
+}
+
+func (s *Snapshot) link(svc *Service) error {
+	for i, c := range svc.Callers {
+		if c != PublicCaller && s.services[c] == nil {
+			return svc.fail(fmt.Sprintf("callers[%d]", i), fmt.Sprintf("service %q is not in this release", c))
+		}
+	}
+	matches := make([]*Match, 0, len(svc.Routes))
+	for i := range svc.Routes {
+		m, err := s.resolve(svc, i)
+		if err != nil {
+			return err
+		}
+		matches = append(matches, m)
+	}
+	for _, h := range svc.Hosts {
+		if len(s.hosts[h]) > 0 && s.hosts[h][0].Owner != svc {
+			return svc.fail("hosts", fmt.Sprintf("%q also belongs to service %q", h, s.hosts[h][0].Owner.Name))
+		}
+		s.hosts[h] = slices.Clone(matches)
+	}
+	return nil
+}
+
+func (s *Snapshot) resolve(svc *Service, i int) (*Match, error) {
+	r := &svc.Routes[i]
+	target := s.services[r.Service]
+	if target == nil {
+		return nil, svc.fail(fmt.Sprintf("routes[%d].service", i), fmt.Sprintf("service %q is not in this release", r.Service))
+	}
+	res := target.resource(r.Resource)
+	if res == nil {
+		return nil, svc.fail(fmt.Sprintf("routes[%d].resource", i), fmt.Sprintf("service %q has no resource %q", r.Service, r.Resource))
+	}
+	return &Match{Owner: svc, Route: r, Target: target, Resource: res}, nil
+}
+
+func (s *Service) resource(name string) *Resource {
+	for i := range s.Resources {
+		if s.Resources[i].Name == name {
+			return &s.Resources[i]
+		}
+	}
+	return nil
+}
+
+// Service returns the configuration of the named service, or nil.
+func (s *Snapshot) Service(name string) *Service {
+	return s.services[name]
+}
+
+// Services returns all services in order of name.
+func (s *Snapshot) Services() []*Service {
+	all := make([]*Service, 0, len(s.services))
+	for _, svc := range s.services {
+		all = append(all, svc)
+	}
+	slices.SortFunc(all, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// MatchRoute returns the route with the longest matching prefix, or nil.
+func (s *Snapshot) MatchRoute(host, method, path string) *Match {
+	for _, m := range s.hosts[host] {
+		if hasPathPrefix(path, m.Route.Prefix) && slices.Contains(m.Route.Methods, method) {
+			return m
+		}
+	}
+	return nil
+}
+
+// Allows reports whether caller may call the service.
+func (s *Service) Allows(caller string) bool {
+	return slices.Contains(s.Callers, caller)
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	rest := path[len(prefix):]
+	return rest == "" || rest[0] == '/' || prefix[len(prefix)-1] == '/'
+}
