--- a/core/yamlcheck/decoder.go
+++ b/core/yamlcheck/decoder.go
@@ -160,9 +160,10 @@
 	}
 	for _, p := range validator.Validate() {
 		field := join(path, p.Field)
-		if !d.failed(field) {
-			d.fail(field, p.Found, p.Expected)
+		if d.failed(field) || p.Related != "" && d.failed(join(path, p.Related)) {
+			continue
 		}
+		d.fail(field, p.Found, p.Expected)
 	}
 }
 
--- a/core/yamlcheck/yamlcheck.go
+++ b/core/yamlcheck/yamlcheck.go
@@ -25,6 +25,9 @@
 	Field    string
 	Found    string
 	Expected string
+	// Related is a second field that the problem is about, or "". An error on it
+	// drops the problem.
+	Related string
 }
 
 // Validator is implemented by structs that check their values. Decode calls it on
@@ -37,17 +40,49 @@
 // Decode decodes the only document in data into the struct that into points to.
 // The name file appears in errors. It returns FieldErrors, or nil.
 func Decode(file string, data []byte, into any) error {
+	_, err := DecodeDocument(file, data, into)
+	return err
+}
+
+// DecodeDocument is Decode for callers that check more than one file together. The
+// Document is returned along with FieldErrors too, unless data is not a document at
+// all; then it is nil.
+func DecodeDocument(file string, data []byte, into any) (*Document, error) {
 	target := reflect.ValueOf(into)
 	if target.Kind() != reflect.Pointer || target.Elem().Kind() != reflect.Struct {
-		return fmt.Errorf("yamlcheck: target is a %T, expected a pointer to a struct", into)
+		return nil, fmt.Errorf("yamlcheck: target is a %T, expected a pointer to a struct", into)
 	}
 	body, err := parse(file, data)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	d := &decoder{file: file, positions: make(map[string]position)}
 	d.value("", body, target.Elem())
-	return d.errors()
+	return &Document{decoder: d}, d.errors()
+}
+
+// Document remembers where the fields of a decoded file stand.
+type Document struct {
+	decoder *decoder
+}
+
+// File returns the name that was passed to DecodeDocument.
+func (d *Document) File() string {
+	return d.decoder.file
+}
+
+// Valid reports whether the file had no errors of its own.
+func (d *Document) Valid() bool {
+	return len(d.decoder.found) == 0
+}
+
+// Locate turns a problem that was found after decoding into an error with its line.
+func (d *Document) Locate(p Problem) FieldError {
+	at := d.decoder.locate(p.Field)
+	return FieldError{
+		File: d.decoder.file, Line: at.line, Column: at.column,
+		Field: p.Field, Found: p.Found, Expected: p.Expected,
+	}
 }
 
 func parse(file string, data []byte) (ast.Node, error) {
