--- a/core/questionnaire/questionnaire_test.go
+++ b/core/questionnaire/questionnaire_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"auburnladder.example/core/mesh"
 )
 
 const examples = "../../examples"
@@ -157,3 +159,42 @@
 		}
 	})
 }
+
+func TestTemplatePassesTheCheck(t *testing.T) {
+	Convey("The template compiles as it stands", t, func() {
+		all, err := Parse([]File{{Name: "t.yaml", Data: []byte(Template("orders"))}})
+		So(err, ShouldBeNil)
+		_, err = Compile(all, Options{Deployment: "d"})
+		So(err, ShouldBeNil)
+	})
+}
+
+func TestDiffSpeaksInAnswers(t *testing.T) {
+	Convey("Given a release and one with amended answers", t, func() {
+		before, err := Parse(readExample(t, "zaalwijzer"))
+		So(err, ShouldBeNil)
+		after, err := Parse(readExample(t, "zaalwijzer"))
+		So(err, ShouldBeNil)
+		book := &after[1].Routes[2]
+		So(book.Name, ShouldEqual, "book")
+		book.Deadline *= 2
+		book.Methods = []string{"POST", "PUT"}
+		after[1].Routes = after[1].Routes[:4]
+		after[2].Resources[0].MaxResponse *= 2
+		changes := Diff(snapshotOf(before), snapshotOf(after))
+		So(changes, ShouldContain, Change{"inschrijving", "routes[book].deadline", "5s", "10s"})
+		So(changes, ShouldContain, Change{"inschrijving", "routes[book].methods", "[POST]", "[POST, PUT]"})
+		So(changes, ShouldContain, Change{"inschrijving", "routes[room-of-workshop].service", "programma", ""})
+		So(changes, ShouldContain, Change{"programma", "resources[sessions].max_response", "1MiB", "2MiB"})
+		So(changes, ShouldHaveLength, 12)
+		So(Diff(snapshotOf(after), snapshotOf(after)), ShouldBeEmpty)
+	})
+}
+
+func snapshotOf(all []*Parsed) *mesh.Snapshot {
+	r, err := Compile(all, Options{Deployment: "d"})
+	So(err, ShouldBeNil)
+	s, err := r.Snapshot()
+	So(err, ShouldBeNil)
+	return s
+}
