Carry one call end to end through real nodes

Cause: nothing served a request yet. Change: framed protobuf over yamux sessions, a node that watches the platform, verifies and applies a release, ingress and egress, strict settings, status. Ruled out for now: retries, limits, peer distribution; they follow on this frame. Before: no node. Conclusion: frame that distribution, calls and reading back build on.

--- /dev/null
+++ b/node/cmd/auburnladder-node/main.go
@@ -0,0 +1,94 @@
+// Command auburnladder-node runs beside one backend server: it holds the approved
+// configuration and carries calls to and from that server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"auburnladder.example/node"
+	"auburnladder.example/node/settings"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+)
+
+// Exit codes of both binaries.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("auburnladder-node", "Holds the approved configuration and carries calls for one backend server.")
+	app.UsageWriter(stderr)
+	app.ErrorWriter(stderr)
+	app.Terminate(nil)
+	help := false
+	app.HelpFlag.Short('h').PreAction(func(*kingpin.ParseContext) error { help = true; return nil })
+	file := app.Flag("settings", "Settings file (YAML).").PlaceHolder("FILE").String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	defaults := app.Flag("print-defaults", "Print a commented settings file and exit.").Bool()
+	format := app.Flag("log-format", "Log format: json or console; overrides the settings.").Enum("json", "console")
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(stderr, "auburnladder-node: %v\n", err)
+		return exitUsage
+	}
+	switch {
+	case help:
+		return exitOK
+	case *defaults:
+		fmt.Fprint(stdout, settings.Template())
+		return exitOK
+	case *file == "":
+		fmt.Fprintln(stderr, "auburnladder-node: --settings FILE is missing")
+		return exitUsage
+	}
+	cfg, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if *check {
+		fmt.Fprintf(stdout, "%s: settings are valid\n", *file)
+		return exitOK
+	}
+	if *format != "" {
+		cfg.Log.Format = settings.LogFormat(*format)
+	}
+	return serve(cfg, stderr)
+}
+
+func serve(cfg *settings.Settings, logs io.Writer) int {
+	log := newLogger(cfg, logs)
+	n, err := node.New(cfg, log)
+	if err != nil {
+		log.Error().Err(err).Str("event", "start-failed").Msg("node not started")
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := n.Run(ctx); err != nil {
+		log.Error().Err(err).Str("event", "stopped").Msg("node failed")
+		return exitFailed
+	}
+	log.Info().Str("event", "stopped").Msg("node stopped")
+	return exitOK
+}
+
+func newLogger(cfg *settings.Settings, w io.Writer) zerolog.Logger {
+	if cfg.Log.Format == settings.LogConsole {
+		w = zerolog.ConsoleWriter{Out: w}
+	}
+	// The level was checked when the settings were read.
+	level, _ := zerolog.ParseLevel(cfg.Log.Level)
+	return zerolog.New(w).Level(level).With().Timestamp().Str("vm", cfg.VM.ID).Logger()
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,180 @@
+// Package node assembles one auburnladder-node from its parts and runs it.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/release"
+	"auburnladder.example/node/admin"
+	"auburnladder.example/node/command"
+	"auburnladder.example/node/distribution"
+	"auburnladder.example/node/peers"
+	"auburnladder.example/node/platform"
+	"auburnladder.example/node/proxy"
+	"auburnladder.example/node/query"
+	"auburnladder.example/node/settings"
+	"auburnladder.example/node/state"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	"github.com/gofiber/fiber/v3"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// protocolVersion is the version of the messages between nodes.
+	protocolVersion = 1
+	// maxHeaderBytes bounds the head of a caller's request.
+	maxHeaderBytes = 16 << 10
+	// maxBodyBytes bounds a caller's body before the route's own limit applies.
+	maxBodyBytes = 1 << 20
+	// slowSenderTimeout bounds how long a caller may take to send a request.
+	slowSenderTimeout = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Node is one running node.
+type Node struct {
+	cfg      *settings.Settings
+	log      zerolog.Logger
+	state    *state.State
+	peers    *peers.Set
+	driver   *distribution.Driver
+	egress   *proxy.Egress
+	listens  []net.Listener
+	shutdown []func()
+}
+
+// New prepares a node: it checks the keys and opens every listener.
+func New(cfg *settings.Settings, log zerolog.Logger) (*Node, error) {
+	trust, err := release.NewTrust(cfg.ApprovalKeys)
+	if err != nil {
+		return nil, err
+	}
+	st := state.New(state.Identity{VM: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region})
+	cmd := &command.Commander{State: st, Log: log, Now: time.Now}
+	n := &Node{cfg: cfg, log: log, state: st}
+	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
+	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	return n, nil
+}
+
+func platformConfig(cfg *settings.Settings) platform.Config {
+	urls := make([]string, len(cfg.Platform.Addresses))
+	for i, a := range cfg.Platform.Addresses {
+		urls[i] = "http://" + a.String()
+	}
+	return platform.Config{BaseURLs: urls, Timeout: cfg.Platform.Timeout.Std(), Wait: cfg.Platform.Wait.Std()}
+}
+
+// Run serves until ctx ends. It returns the first error of a listener.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	n.peers = peers.New(ctx, session.DefaultConfig(), n.hello, n, n.log)
+	var tasks conc.WaitGroup
+	serve := func(name string, addr netip.AddrPort, run func(net.Listener) error) error {
+		l, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			return fmt.Errorf("%s listener: %w", name, err)
+		}
+		n.listens = append(n.listens, l)
+		tasks.Go(func() {
+			if err := run(l); err != nil && ctx.Err() == nil {
+				cancel(fmt.Errorf("%s listener: %w", name, err))
+			}
+		})
+		return nil
+	}
+	err := n.listen(serve)
+	if err == nil {
+		tasks.Go(func() { n.driver.Run(ctx) })
+		n.log.Info().Str("event", "started").Msg("node started")
+		<-ctx.Done()
+		err = context.Cause(ctx)
+	}
+	cancel(err)
+	n.stop()
+	tasks.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+type serveFunc func(name string, addr netip.AddrPort, run func(net.Listener) error) error
+
+func (n *Node) listen(serve serveFunc) error {
+	if err := serve("peer", n.cfg.Listen.Peer, n.peers.Serve); err != nil {
+		return err
+	}
+	app := admin.New(&query.Reader{State: n.state, Now: time.Now})
+	n.shutdown = append(n.shutdown, func() { _ = app.Shutdown() })
+	if err := serve("admin", n.cfg.Listen.Admin, func(l net.Listener) error {
+		return app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	}); err != nil {
+		return err
+	}
+	if err := n.serveCallers(serve, "caller", n.cfg.Listen.Caller, mesh.PublicCaller); err != nil {
+		return err
+	}
+	if !n.cfg.Listen.Local.IsValid() {
+		return nil
+	}
+	return n.serveCallers(serve, "local", n.cfg.Listen.Local, n.cfg.VM.Service)
+}
+
+func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
+	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Caller: caller, Log: n.log}
+	srv := &fasthttp.Server{
+		Handler:               ingress.Handle,
+		Name:                  "auburnladder",
+		ReadBufferSize:        maxHeaderBytes,
+		MaxRequestBodySize:    maxBodyBytes,
+		ReadTimeout:           slowSenderTimeout,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	n.shutdown = append(n.shutdown, func() { _ = srv.Shutdown() })
+	return serve(name, addr, srv.Serve)
+}
+
+func (n *Node) stop() {
+	for _, f := range n.shutdown {
+		f()
+	}
+	n.peers.Close()
+	for _, l := range n.listens {
+		_ = l.Close()
+	}
+}
+
+func (n *Node) hello() *peerpb.Hello {
+	h := &peerpb.Hello{
+		Vm:             n.cfg.VM.ID,
+		Service:        n.cfg.VM.Service,
+		Domain:         n.cfg.VM.Domain,
+		Protocol:       protocolVersion,
+		VmListRevision: n.state.Fleet().Revision,
+		Leaving:        n.state.Leaving(),
+	}
+	if snap := n.state.Snapshot(); snap != nil {
+		h.Held = &peerpb.Version{Sequence: snap.Version.Sequence, Digest: snap.Version.Digest[:]}
+	}
+	return h
+}
+
+// ServeStream implements peers.Handler.
+func (n *Node) ServeStream(ctx context.Context, _ peers.Peer, req *peerpb.Request, st *session.Stream) {
+	if call := req.GetCall(); call != nil {
+		n.egress.ServeCall(ctx, call, st)
+	}
+}
--- /dev/null
+++ b/node/peers/peers.go
@@ -0,0 +1,256 @@
+// Package peers keeps the sessions between this node and other nodes: it accepts
+// theirs, opens its own on demand, and hands every incoming stream to a handler.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/sync/singleflight"
+)
+
+const (
+	// dialTimeout bounds the connection set-up and the exchange of Hello.
+	dialTimeout = 2 * time.Second
+	// handshakeTimeout bounds how long an accepted connection may take to say Hello.
+	handshakeTimeout = 5 * time.Second
+)
+
+// Peer is what the other end of a session said about itself.
+type Peer struct {
+	VM      string
+	Service string
+	Domain  string
+}
+
+// Handler serves the streams that peers open.
+type Handler interface {
+	// ServeStream runs on a goroutine of its own; the stream is closed after it.
+	ServeStream(ctx context.Context, from Peer, req *peerpb.Request, st *session.Stream)
+}
+
+// Greeter returns the Hello that this node sends.
+type Greeter func() *peerpb.Hello
+
+// Set is the node's sessions. Its methods are safe for concurrent use.
+type Set struct {
+	cfg     session.Config
+	hello   Greeter
+	handler Handler
+	log     zerolog.Logger
+	dials   singleflight.Group
+
+	mu       sync.Mutex
+	outgoing map[string]*session.Session
+	incoming map[*session.Session]struct{}
+	tasks    conc.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// New returns a set without sessions. Sessions end when ctx ends.
+func New(ctx context.Context, cfg session.Config, hello Greeter, h Handler, log zerolog.Logger) *Set {
+	ctx, cancel := context.WithCancel(ctx)
+	return &Set{
+		cfg:      cfg,
+		hello:    hello,
+		handler:  h,
+		log:      log,
+		outgoing: make(map[string]*session.Session),
+		incoming: make(map[*session.Session]struct{}),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+}
+
+// Get returns the session to the VM, opening one if there is none.
+func (s *Set) Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error) {
+	if ses := s.open(vm); ses != nil {
+		return ses, nil
+	}
+	result := s.dials.DoChan(vm, func() (any, error) { return s.dial(vm, addr) })
+	select {
+	case r := <-result:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*session.Session), nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("session to %s: %w", vm, ctx.Err())
+	}
+}
+
+func (s *Set) open(vm string) *session.Session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ses := s.outgoing[vm]; ses != nil && !ses.IsClosed() {
+		return ses
+	}
+	return nil
+}
+
+func (s *Set) dial(vm string, addr netip.AddrPort) (*session.Session, error) {
+	if ses := s.open(vm); ses != nil {
+		return ses, nil
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, dialTimeout)
+	defer cancel()
+	ses, err := session.Dial(ctx, addr.String(), s.cfg)
+	if err != nil {
+		return nil, err
+	}
+	peer, err := s.greet(ctx, ses)
+	if err != nil {
+		ses.Close()
+		return nil, err
+	}
+	if peer.VM != vm {
+		ses.Close()
+		return nil, fmt.Errorf("session to %s: %s answered at %s", vm, peer.VM, addr)
+	}
+	s.mu.Lock()
+	s.outgoing[vm] = ses
+	s.mu.Unlock()
+	s.tasks.Go(func() { s.serve(ses, peer) })
+	return ses, nil
+}
+
+func (s *Set) greet(ctx context.Context, ses *session.Session) (Peer, error) {
+	req := &peerpb.Request{Kind: &peerpb.Request_Hello{Hello: s.hello()}}
+	var reply peerpb.Hello
+	if err := ses.Exchange(ctx, req, &reply); err != nil {
+		return Peer{}, fmt.Errorf("hello: %w", err)
+	}
+	return peerOf(&reply), nil
+}
+
+// Serve accepts sessions from l until the set is closed.
+func (s *Set) Serve(l net.Listener) error {
+	stop := context.AfterFunc(s.ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("accept peer: %w", err)
+		}
+		s.tasks.Go(func() { s.accept(conn) })
+	}
+}
+
+func (s *Set) accept(conn net.Conn) {
+	ses, err := session.Server(conn, s.cfg)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.mu.Lock()
+	s.incoming[ses] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.incoming, ses)
+		s.mu.Unlock()
+		ses.Close()
+	}()
+	peer, err := s.welcome(ses)
+	if err != nil {
+		s.log.Warn().Err(err).Str("event", "peer-refused").Stringer("addr", ses.RemoteAddr()).Msg("peer said no valid hello")
+		return
+	}
+	s.serve(ses, peer)
+}
+
+// welcome answers the Hello that must open the first stream of a session.
+func (s *Set) welcome(ses *session.Session) (Peer, error) {
+	timer := time.AfterFunc(handshakeTimeout, ses.Close)
+	defer timer.Stop()
+	st, err := ses.Accept()
+	if err != nil {
+		return Peer{}, err
+	}
+	defer st.Close()
+	var req peerpb.Request
+	if err := st.Recv(&req); err != nil {
+		return Peer{}, err
+	}
+	hello := req.GetHello()
+	if hello == nil || hello.GetVm() == "" {
+		return Peer{}, fmt.Errorf("first request is not a hello")
+	}
+	if err := st.Send(s.hello()); err != nil {
+		return Peer{}, err
+	}
+	return peerOf(hello), nil
+}
+
+// serve hands the streams of one session to the handler until the session ends.
+func (s *Set) serve(ses *session.Session, from Peer) {
+	stop := context.AfterFunc(s.ctx, ses.Close)
+	defer stop()
+	var streams conc.WaitGroup
+	defer streams.Wait()
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	for {
+		st, err := ses.Accept()
+		if err != nil {
+			return
+		}
+		streams.Go(func() { s.serveStream(ctx, from, st) })
+	}
+}
+
+func (s *Set) serveStream(ctx context.Context, from Peer, st *session.Stream) {
+	defer st.Close()
+	var req peerpb.Request
+	if err := st.Recv(&req); err != nil {
+		return
+	}
+	if req.GetPing() != nil {
+		_ = st.Send(req.GetPing())
+		return
+	}
+	s.handler.ServeStream(ctx, from, &req, st)
+}
+
+// Close ends all sessions and waits for their handlers.
+func (s *Set) Close() {
+	s.cancel()
+	s.mu.Lock()
+	for _, ses := range s.outgoing {
+		ses.Close()
+	}
+	for ses := range s.incoming {
+		ses.Close()
+	}
+	s.mu.Unlock()
+	s.tasks.Wait()
+}
+
+// Sessions returns the number of open sessions, outgoing and incoming.
+func (s *Set) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.incoming)
+	for _, ses := range s.outgoing {
+		if !ses.IsClosed() {
+			n++
+		}
+	}
+	return n
+}
+
+func peerOf(h *peerpb.Hello) Peer {
+	return Peer{VM: h.GetVm(), Service: h.GetService(), Domain: h.GetDomain()}
+}
--- /dev/null
+++ b/node/settings/settings.go
@@ -0,0 +1,210 @@
+// Package settings reads and checks the settings of one node. All defaults stand
+// in this package.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/yamlcheck"
+)
+
+// Preset names a set of defaults for the spread of releases.
+type Preset string
+
+const (
+	// PresetConvergence spreads releases fastest and spends more control bytes.
+	PresetConvergence Preset = "convergence"
+	// PresetBytes spends the fewest control bytes and spreads releases slower.
+	PresetBytes Preset = "bytes"
+)
+
+// Settings are the contents of a node's settings file.
+type Settings struct {
+	VM       VM       `yaml:"vm" check:"required"`
+	Listen   Listen   `yaml:"listen" check:"required"`
+	Server   Server   `yaml:"server" check:"required"`
+	Platform Platform `yaml:"platform" check:"required"`
+	// ApprovalKeys are the trusted public keys, each "key-id:base64".
+	ApprovalKeys []string `yaml:"approval_keys" check:"required"`
+	// Preset weighs convergence time against control bytes.
+	Preset Preset `yaml:"preset"`
+	Log    Log    `yaml:"log"`
+	Trace  Trace  `yaml:"trace"`
+}
+
+// VM says which VM the node runs on.
+type VM struct {
+	ID      string `yaml:"id" check:"required"`
+	Service string `yaml:"service" check:"required"`
+	Domain  string `yaml:"domain" check:"required"`
+	Region  string `yaml:"region" check:"required"`
+}
+
+// Listen holds the node's own addresses, each "ip:port".
+type Listen struct {
+	// Peer is for other nodes, TCP and UDP.
+	Peer netip.AddrPort `yaml:"peer" check:"required"`
+	// Caller is for callers from outside, HTTP.
+	Caller netip.AddrPort `yaml:"caller" check:"required"`
+	// Local is for the backend server's own calls to other services, HTTP.
+	Local netip.AddrPort `yaml:"local"`
+	// Admin is for operators, HTTP, read only.
+	Admin netip.AddrPort `yaml:"admin" check:"required"`
+}
+
+// Server is the backend server beside the node.
+type Server struct {
+	Address netip.AddrPort `yaml:"address" check:"required"`
+}
+
+// Platform is the platform's configuration service.
+type Platform struct {
+	// Addresses are "ip:port" of the service's endpoints.
+	Addresses []netip.AddrPort `yaml:"addresses" check:"required"`
+	// Timeout bounds one read. Shorter turns to the next endpoint sooner.
+	Timeout yamlcheck.Duration `yaml:"timeout"`
+	// Wait bounds one watch. Longer costs fewer calls.
+	Wait yamlcheck.Duration `yaml:"wait"`
+}
+
+// LogFormat is how log lines are written.
+type LogFormat string
+
+// Log formats.
+const (
+	LogJSON    LogFormat = "json"
+	LogConsole LogFormat = "console"
+)
+
+// Log says what is logged and how.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level  string    `yaml:"level"`
+	Format LogFormat `yaml:"format"`
+}
+
+// TraceExporter is where spans go.
+type TraceExporter string
+
+// Trace exporters.
+const (
+	TraceNone     TraceExporter = "none"
+	TraceStdout   TraceExporter = "stdout"
+	TraceOTLPHTTP TraceExporter = "otlphttp"
+)
+
+// Trace says which requests leave spans and where these go.
+type Trace struct {
+	Exporter TraceExporter `yaml:"exporter"`
+	// Endpoint is the "ip:port" of an OTLP receiver over HTTP.
+	Endpoint netip.AddrPort `yaml:"endpoint"`
+	// SampleRatio is the share of requests without a trace of their own that get
+	// one, from 0 to 1. Higher costs processor time.
+	SampleRatio float64 `yaml:"sample_ratio"`
+}
+
+const (
+	defaultPlatformTimeout = 2 * time.Second
+	defaultPlatformWait    = 30 * time.Second
+	defaultSampleRatio     = 0.01
+)
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{
+			Timeout: yamlcheck.Duration(defaultPlatformTimeout),
+			Wait:    yamlcheck.Duration(defaultPlatformWait),
+		},
+		Preset: PresetConvergence,
+		Log:    Log{Level: "info", Format: LogJSON},
+		Trace:  Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
+	}
+}
+
+// Load reads the file at path. Errors of content are yamlcheck.FieldErrors.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse decodes and checks the content of a settings file. The name file appears
+// in errors.
+func Parse(file string, data []byte) (*Settings, error) {
+	s := Default()
+	if err := yamlcheck.Decode(file, data, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Validate checks values across fields.
+func (s *Settings) Validate() []yamlcheck.Problem {
+	var problems []yamlcheck.Problem
+	if s.Preset != PresetConvergence && s.Preset != PresetBytes {
+		problems = append(problems, yamlcheck.Problem{Field: "preset", Found: string(s.Preset), Expected: "convergence or bytes"})
+	}
+	for i, k := range s.ApprovalKeys {
+		if _, _, err := release.ParsePublicKey(k); err != nil {
+			problems = append(problems, yamlcheck.Problem{
+				Field: fmt.Sprintf("approval_keys[%d]", i), Found: err.Error(), Expected: "key-id:base64 as keygen writes it",
+			})
+		}
+	}
+	return problems
+}
+
+// Validate checks the endpoints and limits of the platform's service.
+func (p *Platform) Validate() []yamlcheck.Problem {
+	var problems []yamlcheck.Problem
+	if p.Timeout <= 0 {
+		problems = append(problems, yamlcheck.Problem{Field: "timeout", Found: p.Timeout.String(), Expected: "more than 0s"})
+	}
+	if p.Wait.Std() < time.Second {
+		problems = append(problems, yamlcheck.Problem{Field: "wait", Found: p.Wait.String(), Expected: "1s or more"})
+	}
+	return problems
+}
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Validate checks the level and the format.
+func (l *Log) Validate() []yamlcheck.Problem {
+	var problems []yamlcheck.Problem
+	if !slices.Contains(logLevels, l.Level) {
+		problems = append(problems, yamlcheck.Problem{Field: "level", Found: l.Level, Expected: strings.Join(logLevels, ", ")})
+	}
+	if l.Format != LogJSON && l.Format != LogConsole {
+		problems = append(problems, yamlcheck.Problem{Field: "format", Found: string(l.Format), Expected: "json or console"})
+	}
+	return problems
+}
+
+// Validate checks the exporter and what it needs.
+func (t *Trace) Validate() []yamlcheck.Problem {
+	var problems []yamlcheck.Problem
+	switch t.Exporter {
+	case TraceNone, TraceStdout:
+	case TraceOTLPHTTP:
+		if !t.Endpoint.IsValid() {
+			problems = append(problems, yamlcheck.Problem{Field: "endpoint", Found: "nothing", Expected: "ip:port of an OTLP receiver"})
+		}
+	default:
+		problems = append(problems, yamlcheck.Problem{Field: "exporter", Found: string(t.Exporter), Expected: "none, stdout or otlphttp"})
+	}
+	if t.SampleRatio < 0 || t.SampleRatio > 1 {
+		problems = append(problems, yamlcheck.Problem{
+			Field: "sample_ratio", Found: fmt.Sprint(t.SampleRatio), Expected: "a number from 0 to 1",
+		})
+	}
+	return problems
+}
--- /dev/null
+++ b/node/settings/template.go
@@ -0,0 +1,57 @@
+package settings
+
+import "fmt"
+
+// Template returns a commented settings file with every default, its unit and its
+// trade-off.
+func Template() string {
+	d := Default()
+	return fmt.Sprintf(template,
+		d.Platform.Timeout, d.Platform.Wait, d.Preset, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
+}
+
+const template = `# Settings of one auburnladder-node. Values under "required" have no default.
+
+# required: which VM this is; the list of VMs must name it in the same way.
+vm:
+  id: programma-1
+  service: programma
+  domain: nl-central-a
+  region: nl-central
+
+# required: this node's own addresses, IP numbers only.
+listen:
+  peer: 127.0.0.1:7000    # other nodes, TCP and UDP
+  caller: 127.0.0.1:8000  # callers from outside, HTTP
+  local: 127.0.0.1:8100   # optional: the backend server's own calls to other services
+  admin: 127.0.0.1:9000   # operators, HTTP, read only
+
+# required: the backend server beside this node.
+server:
+  address: 127.0.0.1:8200
+
+platform:
+  # required: endpoints of the platform's configuration service.
+  addresses: [127.0.0.1:2000]
+  # Bounds one read. Shorter turns to the next endpoint sooner.
+  timeout: %s
+  # Bounds one watch. Longer costs fewer calls.
+  wait: %s
+
+# required: public keys whose approval counts, as keygen writes them to FILE.pub.
+approval_keys:
+  - audit-2026:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=
+
+# convergence spreads releases fastest; bytes spends the fewest control bytes.
+preset: %s
+
+log:
+  level: %s   # debug, info, warn, error
+  format: %s  # json, console
+
+trace:
+  exporter: %s  # none, stdout, otlphttp
+  # endpoint: 127.0.0.1:4318  # needed by otlphttp
+  # Share of requests without a trace of their own that get one, 0 to 1.
+  sample_ratio: %v
+`
