Add the admission limiter for one backend server

Slots, a bounded queue, the adapted limit and fairness between callers are decided where the server's only sender is, so the counts are exact. State is one word: taking a free slot is one compare-and-swap, no lock, no allocation (TestFreeSlotTakesNoLock holds the mutex while it acquires).

Failing first, by taking each mechanism out: one flow for all callers -> TestCallersShareAnOverloadedServer; no deadline check at dispatch or at acquire, unbounded queue, release that forgets waiters -> TestLimiterProperties; no decrease on sheds, none on slow samples, no ramp -> TestLimitFollowsTheServer; no probe -> TestRefusesWhatCannotBeDoneInTime. All pass with -race as committed.

--- /dev/null
+++ b/core/admission/adapt.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// adapter computes the limit: additive increase while the limit is used, one
+// multiplicative decrease for each burst of sheds or slow answers, and a ramp while
+// the server is cold. All but concerns needs the limiter's lock.
+type adapter struct {
+	cfg          Config
+	limit        float64
+	coldSince    time.Time
+	lastDecrease time.Time
+	lastIncrease time.Time
+	// slowScore counts slow samples up and normal ones down, never below zero.
+	slowScore *atomic.Int64
+}
+
+func newAdapter(cfg Config, now time.Time) adapter {
+	a := adapter{cfg: cfg, slowScore: new(atomic.Int64)}
+	a.restart(now)
+	return a
+}
+
+func (a *adapter) restart(now time.Time) {
+	a.limit = float64(a.cfg.Slots)
+	a.coldSince = now
+	a.lastDecrease = time.Time{}
+	a.slowScore.Store(0)
+}
+
+// current returns the limit at now, between 1 and Slots.
+func (a *adapter) current(now time.Time) int {
+	limit := min(a.limit, a.ramp(now))
+	return min(max(int(limit), 1), a.cfg.Slots)
+}
+
+// ramp returns the bound for a server that is still cold.
+func (a *adapter) ramp(now time.Time) float64 {
+	slots := float64(a.cfg.Slots)
+	age := now.Sub(a.coldSince)
+	if age >= a.cfg.SlowStart {
+		return slots
+	}
+	done := max(float64(age)/float64(a.cfg.SlowStart), 0)
+	share := a.cfg.SlowStartShare + (1-a.cfg.SlowStartShare)*done
+	return slots * share
+}
+
+// concerns reports whether a result can change the limit. It is read without the lock:
+// a healthy server at its full limit takes no lock on release.
+func (a *adapter) concerns(limit int, res Result, slow bool) bool {
+	if res.Unmeasured {
+		return false
+	}
+	return res.Shed || slow || limit < a.cfg.Slots || a.slowScore.Load() > 0
+}
+
+func (a *adapter) observe(now time.Time, s state, res Result, slow bool) {
+	switch {
+	case res.Shed:
+		a.decrease(now, s)
+	case slow:
+		if a.slowScore.Add(1) >= int64(a.cfg.SlowScore*s.limit()) {
+			a.slowScore.Store(0)
+			a.decrease(now, s)
+		}
+	default:
+		a.slowScore.Store(max(a.slowScore.Load()-1, 0))
+		a.increase(now, s)
+	}
+}
+
+// decrease starts from the limit in use, which may be below a.limit on a cold server.
+func (a *adapter) decrease(now time.Time, s state) {
+	if !a.lastDecrease.IsZero() && now.Sub(a.lastDecrease) < a.cfg.DecreaseInterval {
+		return
+	}
+	a.lastDecrease, a.lastIncrease = now, now
+	a.limit = max(min(a.limit, float64(s.limit()))*a.cfg.DecreaseFactor, 1)
+}
+
+// increase adds one request, but only while half of the limit is used: an idle server
+// proves nothing about a higher limit.
+func (a *adapter) increase(now time.Time, s state) {
+	if 2*s.inFlight() < s.limit() || now.Sub(a.lastIncrease) < a.cfg.IncreaseInterval {
+		return
+	}
+	a.lastIncrease = now
+	a.limit = min(a.limit+1, float64(a.cfg.Slots))
+}
