--- /dev/null
+++ b/core/drain/machine_test.go
@@ -0,0 +1,205 @@
+package drain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"auburnladder.example/core/mesh"
+)
+
+var (
+	epoch    = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	contract = mesh.Stop{Method: mesh.StopHTTP, Path: "/stop", Grace: 5000}
+)
+
+// traceLine is one recorded event with the outcome that must follow.
+type traceLine struct {
+	AtMs   int64    `json:"at_ms"`
+	Event  string   `json:"event"`
+	Reason Reason   `json:"reason"`
+	Count  int      `json:"count"`
+	Want   []string `json:"want"`
+	State  State    `json:"state"`
+}
+
+func (l traceLine) decode() Event {
+	switch l.Event {
+	case "signal":
+		return Signal{Reason: l.Reason}
+	case "withdraw":
+		return Withdraw{Reason: l.Reason}
+	case "in_flight":
+		return InFlight{Count: l.Count}
+	case "stop_ended":
+		return StopEnded{}
+	case "tick":
+		return Tick{}
+	default:
+		panic("trace: unknown event " + l.Event)
+	}
+}
+
+func describe(actions []Action) []string {
+	out := []string{}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Refuse:
+			out = append(out, "refuse "+string(a.Reason))
+		case Announce:
+			out = append(out, fmt.Sprint("announce ", a.Leaving))
+		case Accept:
+			out = append(out, "accept")
+		case GraceOver:
+			out = append(out, fmt.Sprint("grace_over ", a.InFlight))
+		case StopServer:
+			out = append(out, "stop "+a.Stop.Path)
+		case Exit:
+			out = append(out, fmt.Sprint("exit ", a.Cut))
+		}
+	}
+	return out
+}
+
+func TestTraces(t *testing.T) {
+	files, _ := filepath.Glob("testdata/traces/*.jsonl")
+	Convey("Every recorded trace has its stated outcome", t, func() {
+		So(len(files), ShouldBeGreaterThanOrEqualTo, 5)
+		for _, file := range files {
+			Convey(filepath.Base(file), func() {
+				replay(file)
+			})
+		}
+	})
+}
+
+func replay(file string) {
+	f, err := os.Open(file)
+	So(err, ShouldBeNil)
+	defer f.Close()
+	m := New(DefaultConfig(), contract)
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		var l traceLine
+		So(json.Unmarshal(lines.Bytes(), &l), ShouldBeNil)
+		got := describe(m.Step(epoch.Add(time.Duration(l.AtMs)*time.Millisecond), l.decode()))
+		So(fmt.Sprintf("line %d: %v %s", n, got, m.State()), ShouldEqual, fmt.Sprintf("line %d: %v %s", n, l.Want, l.State))
+	}
+}
+
+// observer holds what a driver of the machine would see.
+type observer struct {
+	accepting bool
+	stopped   bool
+	exited    bool
+	inFlight  int
+	signalled time.Time
+}
+
+func (o *observer) take(t *rapid.T, now time.Time, actions []Action) {
+	for _, a := range actions {
+		if o.exited {
+			t.Fatalf("%T after the exit", a)
+		}
+		switch a := a.(type) {
+		case Refuse:
+			o.accepting = false
+		case Accept:
+			if o.stopped {
+				t.Fatal("serves a server that was told to stop")
+			}
+			o.accepting = true
+		case StopServer:
+			if o.stopped {
+				t.Fatal("stopped twice")
+			}
+			o.checkStop(t, now)
+			o.stopped = true
+		case Exit:
+			o.exited = true
+			if a.Cut != o.inFlight {
+				t.Fatalf("exit counts %d cut, %d are in flight", a.Cut, o.inFlight)
+			}
+		}
+	}
+}
+
+func (o *observer) checkStop(t *rapid.T, now time.Time) {
+	if o.accepting {
+		t.Fatal("server told to stop while it gets work")
+	}
+	if o.inFlight > 0 && now.Sub(o.signalled) < contract.Grace.Duration() {
+		t.Fatalf("server stopped %v after the signal with %d in flight", now.Sub(o.signalled), o.inFlight)
+	}
+}
+
+func TestDrainProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, now := New(DefaultConfig(), contract), epoch
+		o := &observer{accepting: true}
+		standing := map[Reason]bool{}
+		step := func(ev Event) {
+			before := o.accepting
+			o.take(t, now, m.Step(now, ev))
+			if before && !o.accepting {
+				o.signalled = now
+			}
+			if len(standing) > 0 && o.accepting {
+				t.Fatalf("admits work although %v stands", standing)
+			}
+			if len(standing) == 0 && !o.accepting && !o.stopped && !o.exited {
+				t.Fatal("refuses work although nothing asks for it")
+			}
+		}
+		reasons := rapid.SampledFrom([]Reason{ReasonTerminate, ReasonRestart, ReasonListed, ReasonServer})
+		t.Repeat(map[string]func(*rapid.T){
+			"signal": func(t *rapid.T) {
+				r := reasons.Draw(t, "reason")
+				standing[r] = true
+				step(Signal{r})
+			},
+			"withdraw": func(t *rapid.T) {
+				r := reasons.Draw(t, "reason")
+				if r.withdrawable() {
+					delete(standing, r)
+				}
+				step(Withdraw{r})
+			},
+			"in_flight": func(t *rapid.T) {
+				top := o.inFlight
+				if o.accepting {
+					top = 5
+				}
+				o.inFlight = rapid.IntRange(0, top).Draw(t, "count")
+				step(InFlight{o.inFlight})
+			},
+			"tick": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				step(Tick{})
+			},
+			"stop_ended": func(*rapid.T) {
+				if o.stopped {
+					step(StopEnded{})
+				}
+			},
+		})
+		standing[ReasonTerminate] = true
+		step(Signal{ReasonTerminate})
+		for range 3 {
+			if wake := m.Wake(); !wake.IsZero() {
+				now = wake
+				step(Tick{})
+			}
+		}
+		if !o.exited {
+			t.Fatalf("no exit at the hard limit: %s", m.State())
+		}
+	})
+}
