Add the command line: questionnaires, releases, keys and fleet status

compile, approve and verify share one check with the nodes, mesh.Build, so nothing is signed that a node would refuse. Reads print a table or JSON; exit codes are 0, 1 for a failed check and 2 for wrong usage or bad input. keygen and compile never overwrite a file.

Run: go test ./cli/... (pass; TestVerifyRefuses damages a release in five ways and each ends with exit 1). status has no test yet.

--- /dev/null
+++ b/cli/command/keys.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"auburnladder.example/cli/console"
+	"auburnladder.example/cli/releasedir"
+	"auburnladder.example/core/release"
+)
+
+const (
+	privateMode  = 0o600
+	publicMode   = 0o644
+	publicSuffix = ".pub"
+)
+
+func registerKeygen(app *kingpin.Application, c *console.Console) {
+	cmd := app.Command("keygen", "Generate an Ed25519 key that approves releases or identifies a node.")
+	id := cmd.Flag("id", "Name of the key.").Required().String()
+	out := cmd.Flag("out", "File for the private key; FILE.pub gets the public key. Neither may exist.").Required().String()
+	cmd.Action(func(*kingpin.ParseContext) error { return keygen(c, *id, *out) })
+}
+
+func keygen(c *console.Console, id, out string) error {
+	key, err := release.GenerateKey(id)
+	if err != nil {
+		return err
+	}
+	if err := writeNew(out+publicSuffix, key.Public()+"\n", publicMode); err != nil {
+		return err
+	}
+	if err := writeNew(out, key.Private()+"\n", privateMode); err != nil {
+		os.Remove(out + publicSuffix)
+		return err
+	}
+	c.Printf("wrote %s and %s%s\n", out, out, publicSuffix)
+	return nil
+}
+
+// writeNew writes a file that must not exist yet.
+func writeNew(path, text string, mode os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	if _, err := f.WriteString(text); err != nil {
+		f.Close()
+		return fmt.Errorf("write: %w", err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
+
+func registerApprove(app *kingpin.Application, c *console.Console) {
+	cmd := app.Command("approve", "Sign a release; only complete and valid releases are signed.")
+	key := cmd.Flag("key", "File with the private key.").Required().ExistingFile()
+	dir := cmd.Arg("release", "Directory of the release.").Required().ExistingDir()
+	cmd.Action(func(*kingpin.ParseContext) error { return approve(c, *key, *dir) })
+}
+
+func approve(c *console.Console, keyFile, path string) error {
+	text, err := os.ReadFile(keyFile)
+	if err != nil {
+		return fmt.Errorf("key: %w", err)
+	}
+	key, err := release.ParseSigningKey(string(text))
+	if err != nil {
+		return err
+	}
+	dir, err := releasedir.Read(path)
+	if err != nil {
+		return err
+	}
+	if _, err := dir.Snapshot(); err != nil {
+		return console.Failed("release %s is not valid: %w", dir.Version, err)
+	}
+	approved, err := unsigned(dir)
+	if err != nil {
+		return err
+	}
+	if err := dir.WriteApproved(key.Approve(approved)); err != nil {
+		return err
+	}
+	c.Printf("approved release %s with key %s: %s\n", dir.Version, key.ID, dir.ApprovedPath())
+	return nil
+}
+
+// unsigned returns the manifest with the approvals that it carries so far.
+func unsigned(dir *releasedir.Dir) (*release.Approved, error) {
+	if dir.Approved == nil {
+		return &release.Approved{Manifest: dir.Encoded}, nil
+	}
+	approved, err := dir.Approved.Version()
+	if err != nil {
+		return nil, err
+	}
+	if approved != dir.Version {
+		return nil, console.Failed("%s approves %s, not %s", dir.ApprovedPath(), approved, dir.Version)
+	}
+	return dir.Approved, nil
+}
--- /dev/null
+++ b/cli/query/status.go
@@ -0,0 +1,216 @@
+package query
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"auburnladder.example/cli/console"
+	"auburnladder.example/cli/fleet"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/statusapi"
+	"auburnladder.example/core/vmlist"
+)
+
+// fleetFlags say which nodes are asked, and how.
+type fleetFlags struct {
+	node   string
+	vms    string
+	config fleet.Config
+}
+
+func addFleetFlags(cmd *kingpin.CmdClause) *fleetFlags {
+	f := &fleetFlags{config: fleet.DefaultConfig()}
+	cmd.Flag("node", "Admin address ip:port of any node, which gives the list of VMs.").StringVar(&f.node)
+	cmd.Flag("vms", "File with the list of VMs as the platform publishes it, in place of --node.").ExistingFileVar(&f.vms)
+	cmd.Flag("timeout", "How long to wait for each node.").Default(f.config.Timeout.String()).DurationVar(&f.config.Timeout)
+	cmd.Flag("parallel", "How many nodes to ask at once.").Default(fmt.Sprint(f.config.Parallel)).IntVar(&f.config.Parallel)
+	return f
+}
+
+func (f *fleetFlags) client() *fleet.Client {
+	return fleet.NewClient(f.config)
+}
+
+// list returns the VMs to ask.
+func (f *fleetFlags) list(client *fleet.Client) ([]vmlist.VM, error) {
+	switch {
+	case (f.node == "") == (f.vms == ""):
+		return nil, fmt.Errorf("expected either --node or --vms")
+	case f.config.Parallel < 1:
+		return nil, fmt.Errorf("--parallel: found %d, expected 1 or more", f.config.Parallel)
+	case f.vms != "":
+		return fleet.ReadVMs(f.vms)
+	}
+	addr, err := netip.ParseAddrPort(f.node)
+	if err != nil {
+		return nil, fmt.Errorf("--node: found %q, expected ip:port", f.node)
+	}
+	status, err := client.Status(addr)
+	if err != nil {
+		return nil, console.Failed("%w", err)
+	}
+	if len(status.VMs) == 0 {
+		return nil, console.Failed("node %s holds no list of VMs yet", status.VM)
+	}
+	return status.VMs, nil
+}
+
+func registerStatus(app *kingpin.Application, c *console.Console) {
+	cmd := app.Command("status", "Show which release is in force on each node, which node lags and why.")
+	flags := addFleetFlags(cmd)
+	format := console.FormatFlag(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error { return status(c, flags, *format) })
+}
+
+// nodeRow is what status shows about one VM.
+type nodeRow struct {
+	VM      string          `json:"vm"`
+	Service string          `json:"service"`
+	Domain  string          `json:"domain"`
+	Held    release.Version `json:"held"`
+	// HeldFor is in seconds, by the node's own clock.
+	HeldFor float64 `json:"held_for_s"`
+	Reader  bool    `json:"reader"`
+	State   string  `json:"state"`
+	// Reason says why the node does not hold the newest release; "" if it does.
+	Reason string `json:"reason,omitempty"`
+
+	status *statusapi.Status
+}
+
+// fleetStatus is the JSON answer of status.
+type fleetStatus struct {
+	// Newest is the newest release that any node holds.
+	Newest release.Version `json:"newest"`
+	// InForce counts the VMs that hold Newest.
+	InForce int `json:"in_force"`
+	// Conflicts lists different releases with one sequence number.
+	Conflicts []statusapi.Conflict `json:"conflicts,omitempty"`
+	VMs       []nodeRow            `json:"vms"`
+}
+
+// stateUnreachable is the state of a VM whose node did not answer.
+const stateUnreachable = "unreachable"
+
+func status(c *console.Console, flags *fleetFlags, format string) error {
+	client := flags.client()
+	vms, err := flags.list(client)
+	if err != nil {
+		return err
+	}
+	rows := fleet.Each(client, vms, func(vm vmlist.VM) nodeRow { return askStatus(client, vm) })
+	result := summarize(rows)
+	if format == console.FormatJSON {
+		return c.JSON(result)
+	}
+	return printStatus(c, result)
+}
+
+func askStatus(client *fleet.Client, vm vmlist.VM) nodeRow {
+	row := nodeRow{VM: vm.ID, Service: vm.Service, Domain: vm.Domain, State: stateUnreachable}
+	if !vm.Admin.IsValid() {
+		row.Reason = "the list of VMs gives no admin address"
+		return row
+	}
+	s, err := client.Status(vm.Admin)
+	if err != nil {
+		row.Reason = err.Error()
+		return row
+	}
+	if s.VM != vm.ID {
+		row.Reason = fmt.Sprintf("node %q answers at %s", s.VM, vm.Admin)
+		return row
+	}
+	row.Held = s.Held
+	row.HeldFor = s.Now.Sub(s.HeldSince).Seconds()
+	row.Reader = s.Reader
+	row.State = string(s.Drain)
+	if s.Server == statusapi.ServerDown || s.Server == statusapi.ServerShedding {
+		row.State += ", server " + string(s.Server)
+	}
+	row.status = s
+	return row
+}
+
+func summarize(rows []nodeRow) fleetStatus {
+	result := fleetStatus{VMs: rows}
+	for i := range rows {
+		if rows[i].Held.Newer(result.Newest) {
+			result.Newest = rows[i].Held
+		}
+	}
+	for i := range rows {
+		row := &rows[i]
+		if row.status == nil {
+			continue
+		}
+		result.addConflicts(row.status.Conflicts)
+		if row.Held == result.Newest {
+			result.InForce++
+			continue
+		}
+		row.Reason = lagReason(row.status, result.Newest)
+	}
+	slices.SortFunc(rows, func(a, b nodeRow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.VM, b.VM))
+	})
+	return result
+}
+
+func (r *fleetStatus) addConflicts(conflicts []statusapi.Conflict) {
+	for _, c := range conflicts {
+		known := slices.ContainsFunc(r.Conflicts, func(o statusapi.Conflict) bool {
+			return o.Kept == c.Kept && o.Dropped == c.Dropped
+		})
+		if !known {
+			r.Conflicts = append(r.Conflicts, c)
+		}
+	}
+}
+
+func lagReason(s *statusapi.Status, newest release.Version) string {
+	for _, refused := range s.Refused {
+		if refused.Version == newest {
+			return "refused " + newest.String() + ": " + refused.Reason
+		}
+	}
+	if s.Held.IsZero() {
+		return "holds no release yet"
+	}
+	return "has not put " + newest.String() + " in force yet"
+}
+
+func printStatus(c *console.Console, r fleetStatus) error {
+	t := newTable(c.Out, "VM", "SERVICE", "DOMAIN", "RELEASE", "IN FORCE FOR", "READER", "STATE", "REASON")
+	for _, row := range r.VMs {
+		t.row(row.VM, row.Service, row.Domain, row.Held.String(), heldFor(row), yesNo(row.Reader), row.State, row.Reason)
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	for _, conflict := range r.Conflicts {
+		c.Printf("conflict: releases %s and %s have one sequence number; publish release %d to end it\n",
+			conflict.Kept, conflict.Dropped, conflict.Kept.Sequence+1)
+	}
+	c.Printf("%d of %d VMs hold %s\n", r.InForce, len(r.VMs), r.Newest)
+	return nil
+}
+
+func heldFor(row nodeRow) string {
+	if row.status == nil || row.Held.IsZero() {
+		return "-"
+	}
+	return (time.Duration(row.HeldFor) * time.Second).String()
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
