--- a/core/release/manifest.go
+++ b/core/release/manifest.go
@@ -24,12 +24,13 @@
 	CurrentKey = "auburnladder/release"
 	// VMListKey holds the list of live and leaving VMs.
 	VMListKey = "platform/vms"
-	chunkKey  = "auburnladder/chunk/"
+	// ChunkKeyPrefix precedes the digest in the key of a chunk.
+	ChunkKeyPrefix = "auburnladder/chunk/"
 )
 
 // ChunkKey returns the platform key of the chunk with digest d.
 func ChunkKey(d Digest) string {
-	return chunkKey + d.String()
+	return ChunkKeyPrefix + d.String()
 }
 
 // ChunkRef names one chunk of a release. Name is the service it describes.
