--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,77 @@
+package retry
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// milli is the number of budget units in one retry.
+const milli = 1000
+
+// Budget bounds the retries of the calls to one service: a share of its traffic,
+// and a small number a second so that a quiet service can retry at all. It may be
+// used by many goroutines at once.
+type Budget struct {
+	cfg      BudgetConfig
+	tokens   atomic.Int64 // in thousandths of a retry
+	refilled atomic.Int64 // unix nanoseconds up to which PerSecond is credited
+}
+
+// BudgetConfig holds the limits of a Budget.
+type BudgetConfig struct {
+	// Ratio is the share of calls that may be retried. Higher rides out more
+	// failures, and adds more load to servers that are failing already.
+	Ratio float64
+	// PerSecond is the number of retries a second that need no traffic.
+	PerSecond float64
+	// Burst is the number of retries that can be saved up.
+	Burst int
+}
+
+// NewBudget returns a full budget.
+func NewBudget(now time.Time, cfg BudgetConfig) *Budget {
+	b := &Budget{cfg: cfg}
+	b.tokens.Store(int64(cfg.Burst) * milli)
+	b.refilled.Store(now.UnixNano())
+	return b
+}
+
+// Deposit credits one call's first attempt.
+func (b *Budget) Deposit() {
+	b.credit(int64(b.cfg.Ratio * milli))
+}
+
+// Withdraw takes one retry from the budget, or returns false if it is spent.
+func (b *Budget) Withdraw(now time.Time) bool {
+	b.refill(now)
+	for {
+		old := b.tokens.Load()
+		if old < milli {
+			return false
+		}
+		if b.tokens.CompareAndSwap(old, old-milli) {
+			return true
+		}
+	}
+}
+
+// refill credits the retries that need no traffic. One of several goroutines that
+// meet here credits the elapsed time.
+func (b *Budget) refill(now time.Time) {
+	last := b.refilled.Load()
+	elapsed := time.Duration(now.UnixNano() - last)
+	amount := int64(elapsed.Seconds() * b.cfg.PerSecond * milli)
+	if amount > 0 && b.refilled.CompareAndSwap(last, now.UnixNano()) {
+		b.credit(amount)
+	}
+}
+
+func (b *Budget) credit(amount int64) {
+	limit := int64(b.cfg.Burst) * milli
+	for {
+		old := b.tokens.Load()
+		if old >= limit || b.tokens.CompareAndSwap(old, min(limit, old+amount)) {
+			return
+		}
+	}
+}
