Adopt new server limits in a running limiter

A release may change slots and connections while requests hold slots. Before: only a new limiter, which would forget the work in flight. After: the limits change in place (TestSetServerKeepsWorkInSlots passes).

--- a/core/admission/adapt.go
+++ b/core/admission/adapt.go
@@ -16,16 +16,27 @@
 	lastIncrease time.Time
 	// slowScore counts slow samples up and normal ones down, never below zero.
 	slowScore *atomic.Int64
+	slots     *atomic.Int64
+	slowStart time.Duration
 }
 
 func newAdapter(cfg Config, now time.Time) adapter {
-	a := adapter{cfg: cfg, slowScore: new(atomic.Int64)}
+	a := adapter{cfg: cfg, slowScore: new(atomic.Int64), slots: new(atomic.Int64), slowStart: cfg.SlowStart}
+	a.slots.Store(int64(cfg.Slots))
 	a.restart(now)
 	return a
 }
 
+// setSlots keeps the adapted share of the slots.
+func (a *adapter) setSlots(slots int, slowStart time.Duration) {
+	share := a.limit / float64(a.slots.Load())
+	a.slots.Store(int64(slots))
+	a.limit = max(share*float64(slots), 1)
+	a.slowStart = slowStart
+}
+
 func (a *adapter) restart(now time.Time) {
-	a.limit = float64(a.cfg.Slots)
+	a.limit = float64(a.slots.Load())
 	a.coldSince = now
 	a.lastDecrease = time.Time{}
 	a.slowScore.Store(0)
@@ -34,17 +45,17 @@
 // current returns the limit at now, between 1 and Slots.
 func (a *adapter) current(now time.Time) int {
 	limit := min(a.limit, a.ramp(now))
-	return min(max(int(limit), 1), a.cfg.Slots)
+	return min(max(int(limit), 1), int(a.slots.Load()))
 }
 
 // ramp returns the bound for a server that is still cold.
 func (a *adapter) ramp(now time.Time) float64 {
-	slots := float64(a.cfg.Slots)
+	slots := float64(a.slots.Load())
 	age := now.Sub(a.coldSince)
-	if age >= a.cfg.SlowStart {
+	if age >= a.slowStart {
 		return slots
 	}
-	done := max(float64(age)/float64(a.cfg.SlowStart), 0)
+	done := max(float64(age)/float64(a.slowStart), 0)
 	share := a.cfg.SlowStartShare + (1-a.cfg.SlowStartShare)*done
 	return slots * share
 }
@@ -55,7 +66,7 @@
 	if res.Unmeasured {
 		return false
 	}
-	return res.Shed || slow || limit < a.cfg.Slots || a.slowScore.Load() > 0
+	return res.Shed || slow || limit < int(a.slots.Load()) || a.slowScore.Load() > 0
 }
 
 func (a *adapter) observe(now time.Time, s state, res Result, slow bool) {
@@ -89,5 +100,5 @@
 		return
 	}
 	a.lastIncrease = now
-	a.limit = min(a.limit+1, float64(a.cfg.Slots))
+	a.limit = min(a.limit+1, float64(a.slots.Load()))
 }
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"auburnladder.example/core/mesh"
 )
 
 // Limiter bounds the work at one backend server. Create it with New.
@@ -15,8 +17,9 @@
 	state atomic.Uint64
 	adapt adapter
 
-	mu    sync.Mutex
-	queue *fairQueue
+	mu         sync.Mutex
+	queue      *fairQueue
+	queueLimit int
 }
 
 // New returns a limiter for a server that is cold at now.
@@ -25,6 +28,8 @@
 		cfg:   cfg,
 		times: newServiceTimes(cfg, now),
 		queue: newFairQueue(),
+		// SetServer changes it later.
+		queueLimit: cfg.QueueLimit,
 	}
 	l.adapt = newAdapter(cfg, now)
 	l.state.Store(uint64(state(0).withLimit(l.adapt.current(now))))
@@ -93,7 +98,7 @@
 	if start.Add(l.times.estimate(req.Route)).After(req.Deadline) {
 		return false
 	}
-	if s.waiting() < l.cfg.QueueLimit {
+	if s.waiting() < l.queueLimit {
 		return true
 	}
 	victim := l.queue.evictFor(req)
@@ -187,6 +192,18 @@
 	l.dispatch(now)
 }
 
+// SetServer adopts the limits of a new release. Work in slots goes on, also beyond a
+// lower limit.
+func (l *Limiter) SetServer(now time.Time, server mesh.Server) {
+	cfg := ConfigFor(server)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queueLimit = cfg.QueueLimit
+	l.adapt.setSlots(cfg.Slots, cfg.SlowStart)
+	l.refreshLimit(now)
+	l.dispatch(now)
+}
+
 // Load returns the counts at this moment.
 func (l *Limiter) Load() Load {
 	s := l.load()
--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -264,3 +264,18 @@
 		})
 	})
 }
+
+func TestSetServerKeepsWorkInSlots(t *testing.T) {
+	Convey("A release that changes the slots keeps the work and serves the waiters", t, func() {
+		l := New(testConfig(1, 4), epoch)
+		req := Request{Caller: "a", Deadline: epoch.Add(time.Second)}
+		l.Acquire(epoch, req)
+		w := l.Acquire(epoch, req).Waiter
+		l.SetServer(epoch, mesh.Server{Slots: 2, Connections: 20})
+		<-w.Done()
+		So(w.Decision().Outcome, ShouldEqual, Granted)
+		l.SetServer(epoch, mesh.Server{Slots: 1, Connections: 1})
+		So(l.Load(), ShouldResemble, Load{InFlight: 2, Limit: 1})
+		So(l.Acquire(epoch, req).Reason, ShouldEqual, ReasonOverload)
+	})
+}
