Bound what a false frame length can allocate

Cause: a peer that announced 2 MiB made the reader allocate 2 MiB at once. Ruled out: a lower frame limit, since a VM list of 2,500 entries needs about 400 KB.

--- a/wire/frame/frame.go
+++ b/wire/frame/frame.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -63,17 +64,32 @@
 	if size > MaxBytes {
 		return fmt.Errorf("%w: %d bytes, expected at most %d", ErrTooLarge, size, MaxBytes)
 	}
-	buf = grow(buf, size)
-	*p = buf
-	if _, err := io.ReadFull(r, buf); err != nil {
+	buf, err := readBody(r, buf, size)
+	if err != nil {
 		return fmt.Errorf("read frame: %w", noEOF(err))
 	}
+	*p = buf
 	if err := proto.Unmarshal(buf, m); err != nil {
 		return fmt.Errorf("decode frame: %w", err)
 	}
 	return nil
 }
 
+// readBody reads size bytes into buf. It allocates as bytes arrive, so that a false
+// length costs the reader at most one step.
+func readBody(r io.Reader, buf []byte, size int) ([]byte, error) {
+	buf = buf[:0]
+	for len(buf) < size {
+		step := min(size-len(buf), maxPooledBytes)
+		start := len(buf)
+		buf = slices.Grow(buf, step)[:start+step]
+		if _, err := io.ReadFull(r, buf[start:]); err != nil {
+			return nil, err
+		}
+	}
+	return buf, nil
+}
+
 func grow(buf []byte, size int) []byte {
 	if cap(buf) < size {
 		return make([]byte, size)
