Replace silent sessions and close idle ones

Cause: a session to a node that lost track of its connection stayed in use, sessions were never given up, and the transport could not prove who is at the other end. Ruled out: synctest, because yamux pools timers across bubbles and aborts.

--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	n.peers = peers.New(ctx, session.DefaultConfig(), n.hello, n, n.log)
+	n.peers = peers.New(ctx, peers.DefaultConfig(), n.hello, n, n.log)
 	var tasks conc.WaitGroup
 	serve := func(name string, addr netip.AddrPort, run func(net.Listener) error) error {
 		l, err := net.Listen("tcp", addr.String())
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -40,16 +40,30 @@
 // Greeter returns the Hello that this node sends.
 type Greeter func() *peerpb.Hello
 
+// Config says how sessions are made and kept.
+type Config struct {
+	Transport Transport
+	Session   session.Config
+	// MaxIdle is how long an outgoing session may carry no stream before it is
+	// closed. Longer saves connection set-up, shorter saves memory and probes.
+	MaxIdle time.Duration
+}
+
+// DefaultConfig uses plain TCP.
+func DefaultConfig() Config {
+	return Config{Transport: TCP{}, Session: session.DefaultConfig(), MaxIdle: 5 * time.Minute}
+}
+
 // Set is the node's sessions. Its methods are safe for concurrent use.
 type Set struct {
-	cfg     session.Config
+	cfg     Config
 	hello   Greeter
 	handler Handler
 	log     zerolog.Logger
 	dials   singleflight.Group
 
 	mu       sync.Mutex
-	outgoing map[string]*session.Session
+	outgoing map[string]*outgoing
 	incoming map[*session.Session]struct{}
 	tasks    conc.WaitGroup
 	ctx      context.Context
@@ -57,18 +71,20 @@
 }
 
 // New returns a set without sessions. Sessions end when ctx ends.
-func New(ctx context.Context, cfg session.Config, hello Greeter, h Handler, log zerolog.Logger) *Set {
+func New(ctx context.Context, cfg Config, hello Greeter, h Handler, log zerolog.Logger) *Set {
 	ctx, cancel := context.WithCancel(ctx)
-	return &Set{
+	s := &Set{
 		cfg:      cfg,
 		hello:    hello,
 		handler:  h,
 		log:      log,
-		outgoing: make(map[string]*session.Session),
+		outgoing: make(map[string]*outgoing),
 		incoming: make(map[*session.Session]struct{}),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
+	s.tasks.Go(s.closeIdle)
+	return s
 }
 
 // Get returns the session to the VM, opening one if there is none.
@@ -91,8 +107,9 @@
 func (s *Set) open(vm string) *session.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ses := s.outgoing[vm]; ses != nil && !ses.IsClosed() {
-		return ses
+	if out := s.outgoing[vm]; out != nil && !out.session.IsClosed() {
+		out.lastUse.Store(time.Now().UnixNano())
+		return out.session
 	}
 	return nil
 }
@@ -103,10 +120,15 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, dialTimeout)
 	defer cancel()
-	ses, err := session.Dial(ctx, addr.String(), s.cfg)
+	conn, err := s.cfg.Transport.Dial(ctx, vm, addr)
 	if err != nil {
 		return nil, err
 	}
+	ses, err := session.Client(conn, s.cfg.Session)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	peer, err := s.greet(ctx, ses)
 	if err != nil {
 		ses.Close()
@@ -116,13 +138,30 @@
 		ses.Close()
 		return nil, fmt.Errorf("session to %s: %s answered at %s", vm, peer.VM, addr)
 	}
-	s.mu.Lock()
-	s.outgoing[vm] = ses
-	s.mu.Unlock()
-	s.tasks.Go(func() { s.serve(ses, peer) })
+	s.add(vm, ses)
+	s.tasks.Go(func() {
+		s.serve(ses, peer)
+		s.remove(vm, ses)
+	})
 	return ses, nil
 }
 
+func (s *Set) add(vm string, ses *session.Session) {
+	out := &outgoing{session: ses}
+	out.lastUse.Store(time.Now().UnixNano())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outgoing[vm] = out
+}
+
+func (s *Set) remove(vm string, ses *session.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if out := s.outgoing[vm]; out != nil && out.session == ses {
+		delete(s.outgoing, vm)
+	}
+}
+
 func (s *Set) greet(ctx context.Context, ses *session.Session) (Peer, error) {
 	req := &peerpb.Request{Kind: &peerpb.Request_Hello{Hello: s.hello()}}
 	var reply peerpb.Hello
@@ -148,8 +187,16 @@
 	}
 }
 
-func (s *Set) accept(conn net.Conn) {
-	ses, err := session.Server(conn, s.cfg)
+func (s *Set) accept(raw net.Conn) {
+	ctx, cancel := context.WithTimeout(s.ctx, handshakeTimeout)
+	conn, vm, err := s.cfg.Transport.Accept(ctx, raw)
+	cancel()
+	if err != nil {
+		s.log.Warn().Err(err).Str("event", "peer-refused").Stringer("addr", raw.RemoteAddr()).Msg("peer connection not accepted")
+		_ = raw.Close()
+		return
+	}
+	ses, err := session.Server(conn, s.cfg.Session)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -164,6 +211,9 @@
 		ses.Close()
 	}()
 	peer, err := s.welcome(ses)
+	if err == nil && vm != "" && vm != peer.VM {
+		err = fmt.Errorf("hello names VM %q on a connection of VM %q", peer.VM, vm)
+	}
 	if err != nil {
 		s.log.Warn().Err(err).Str("event", "peer-refused").Stringer("addr", ses.RemoteAddr()).Msg("peer said no valid hello")
 		return
@@ -228,8 +278,8 @@
 func (s *Set) Close() {
 	s.cancel()
 	s.mu.Lock()
-	for _, ses := range s.outgoing {
-		ses.Close()
+	for _, out := range s.outgoing {
+		out.session.Close()
 	}
 	for ses := range s.incoming {
 		ses.Close()
@@ -242,13 +292,7 @@
 func (s *Set) Sessions() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := len(s.incoming)
-	for _, ses := range s.outgoing {
-		if !ses.IsClosed() {
-			n++
-		}
-	}
-	return n
+	return len(s.incoming) + len(s.outgoing)
 }
 
 func peerOf(h *peerpb.Hello) Peer {
--- a/wire/session/session.go
+++ b/wire/session/session.go
@@ -47,6 +47,9 @@
 	return y
 }
 
+// ErrTimeout reports that a stream's deadline passed or its context ended.
+var ErrTimeout = yamux.ErrTimeout
+
 // Session is one multiplexed connection. Its methods are safe for concurrent use.
 type Session struct {
 	mux *yamux.Session
@@ -70,16 +73,6 @@
 	return &Session{mux: mux}, nil
 }
 
-// Dial connects to addr and starts a session.
-func Dial(ctx context.Context, addr string, cfg Config) (*Session, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("dial peer: %w", err)
-	}
-	return Client(conn, cfg)
-}
-
 // Open starts a stream with its first message.
 func (s *Session) Open(req *peerpb.Request) (*Stream, error) {
 	st, err := s.mux.OpenStream()
