--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -49,6 +49,8 @@
 	Faults bool
 	// MisleadingHealth makes /_health say the opposite of the truth.
 	MisleadingHealth bool
+	// StopPath is where a POST begins the graceful shutdown.
+	StopPath string
 	// LoadLag is how old the answer of /_load may be.
 	LoadLag time.Duration
 }
@@ -60,6 +62,7 @@
 		Connections: 110,
 		Work:        2 * time.Millisecond,
 		ColdFactor:  3,
+		StopPath:    "/_stop",
 		LoadLag:     2 * time.Second,
 	}
 }
@@ -135,7 +138,7 @@
 	mux.HandleFunc("GET /_health", s.health)
 	mux.HandleFunc("GET /_load", s.showLoad)
 	mux.HandleFunc("GET /_drain", s.drain)
-	mux.HandleFunc("POST /_stop", s.beginStop)
+	mux.HandleFunc("POST "+s.config.StopPath, s.beginStop)
 	mux.HandleFunc("GET /_log", s.showHistory)
 	return mux
 }
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -84,6 +84,7 @@
 	command.Flag("cold-factor", "Factor on work at the start.").Default("3").Float64Var(&config.ColdFactor)
 	command.Flag("faults", "Obey the header X-Fault.").BoolVar(&config.Faults)
 	command.Flag("misleading-health", "Let /_health say the opposite.").BoolVar(&config.MisleadingHealth)
+	command.Flag("stop-path", "Path where a POST begins the graceful shutdown.").Default(config.StopPath).StringVar(&config.StopPath)
 	command.Flag("load-lag", "Age that the answer of /_load may reach.").Default(config.LoadLag.String()).DurationVar(&config.LoadLag)
 	command.Flag("history", "File for a JSON line at the start and end of each request.").StringVar(&historyFile)
 	return func(ctx context.Context, listener net.Listener) error {
