--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -11,8 +11,10 @@
 // Snapshot is the configuration of one whole release. It is immutable: the
 // request path reads it through one atomic pointer without locks.
 type Snapshot struct {
-	Version  release.Version
-	KeyID    string
+	Version release.Version
+	KeyID   string
+	// Approved is the manifest with its approvals, nil in a snapshot for checks only.
+	Approved *release.Approved
 	services map[string]*Service
 	hosts    map[string][]*Match
 }
@@ -45,6 +47,7 @@
 	s := &Snapshot{
 		Version:  v.Version,
 		KeyID:    v.KeyID,
+		Approved: v.Approved,
 		services: make(map[string]*Service, len(v.Manifest.Chunks)),
 		hosts:    make(map[string][]*Match),
 	}
--- /dev/null
+++ b/core/statusapi/explain.go
@@ -0,0 +1,78 @@
+package statusapi
+
+import (
+	"auburnladder.example/core/release"
+)
+
+// ExplainPath answers with an Explanation. Query parameters: method, host, path and
+// caller, all required.
+const ExplainPath = "/v1/explain"
+
+// Explanation says how a node would treat a request.
+type Explanation struct {
+	APIVersion string          `json:"api_version"`
+	VM         string          `json:"vm"`
+	Held       release.Version `json:"held"`
+	// Outcome says what happens to the request.
+	Outcome Outcome `json:"outcome"`
+	// Reason says why, for people.
+	Reason string `json:"reason,omitempty"`
+	// Route is nil if none matches.
+	Route *ExplainedRoute `json:"route,omitempty"`
+	// Candidates are all servers of the target service.
+	Candidates []Candidate `json:"candidates,omitempty"`
+}
+
+// Outcome is what happens to a request.
+type Outcome string
+
+// Outcomes.
+const (
+	OutcomeRouted    Outcome = "routed"
+	OutcomeNoRelease Outcome = "no-release"
+	OutcomeNoRoute   Outcome = "no-route"
+	OutcomeForbidden Outcome = "forbidden"
+	OutcomeNoServer  Outcome = "no-server"
+)
+
+// ExplainedRoute is the route of a request with the answers behind it.
+type ExplainedRoute struct {
+	// Service is the service whose questionnaire declares the route.
+	Service string `json:"service"`
+	Name    string `json:"name"`
+	// Target is the service whose servers run the request.
+	Target     string   `json:"target"`
+	Resource   string   `json:"resource"`
+	Callers    []string `json:"callers"`
+	Priority   string   `json:"priority"`
+	Idempotent bool     `json:"idempotent"`
+	// Attempts bounds the attempts in all.
+	Attempts int   `json:"attempts"`
+	Statuses []int `json:"statuses"`
+	// RetryRule says in words what is tried again.
+	RetryRule  string `json:"retry_rule"`
+	DeadlineMs int64  `json:"deadline_ms"`
+	// Answers are the questionnaire's answers about the route.
+	Answers []RouteAnswer `json:"answers"`
+}
+
+// RouteAnswer is one answer of a questionnaire.
+type RouteAnswer struct {
+	Path string `json:"path"`
+	Text string `json:"text"`
+}
+
+// Candidate is one server that a request may go to.
+type Candidate struct {
+	VM     string `json:"vm"`
+	Domain string `json:"domain"`
+	// Excluded says why the server gets no work; "" if it may.
+	Excluded string `json:"excluded,omitempty"`
+	// InFlight counts the attempts of this node that have not ended.
+	InFlight int `json:"in_flight"`
+	// Load is the estimated load with one more request, as a share of the limit; 0
+	// if unknown.
+	Load float64 `json:"load"`
+	// Weight is the share of full speed that a starting server has reached.
+	Weight float64 `json:"weight"`
+}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -2,7 +2,9 @@
 package admin
 
 import (
+	"errors"
 	"expvar"
+	"strconv"
 
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/query"
@@ -10,19 +12,68 @@
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 )
 
+// problem is the JSON answer to a question that the node can't answer.
+type problem struct {
+	Error string `json:"error"`
+}
+
 // New returns the application; the caller gives it a listener.
 func New(r *query.Reader) *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "auburnladder-node"})
 	app.Get(statusapi.StatusPath, func(c fiber.Ctx) error { return c.JSON(r.Status()) })
+	app.Get(statusapi.ConfigPath, func(c fiber.Ctx) error { return config(c, r) })
+	app.Get(statusapi.JournalPath, func(c fiber.Ctx) error { return journal(c, r) })
+	app.Get(statusapi.ExplainPath, func(c fiber.Ctx) error { return explain(c, r) })
+	app.Get(statusapi.EvidencePath, func(c fiber.Ctx) error { return signEvidence(c, r) })
 	app.Get(statusapi.HealthPath, func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get(statusapi.ReadyPath, func(c fiber.Ctx) error { return ready(c, r) })
 	app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
 	return app
 }
 
+func fail(c fiber.Ctx, status int, err error) error {
+	return c.Status(status).JSON(problem{Error: err.Error()})
+}
+
 func ready(c fiber.Ctx, r *query.Reader) error {
 	if !r.Ready() {
 		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
 	}
 	return c.SendString("ready\n")
 }
+
+func config(c fiber.Ctx, r *query.Reader) error {
+	answer, err := r.Config()
+	if err != nil {
+		return fail(c, fiber.StatusServiceUnavailable, err)
+	}
+	return c.JSON(answer)
+}
+
+func journal(c fiber.Ctx, r *query.Reader) error {
+	after, err := strconv.ParseUint(c.Query("since", "0"), 10, 64)
+	if err != nil {
+		return fail(c, fiber.StatusBadRequest, errors.New("since: expected the number of an entry"))
+	}
+	return c.JSON(r.JournalSince(after))
+}
+
+func explain(c fiber.Ctx, r *query.Reader) error {
+	req := query.Request{Method: c.Query("method"), Host: c.Query("host"), Path: c.Query("path"), Caller: c.Query("caller")}
+	if req.Method == "" || req.Host == "" || req.Path == "" || req.Caller == "" {
+		return fail(c, fiber.StatusBadRequest, errors.New("expected the parameters method, host, path and caller"))
+	}
+	return c.JSON(r.Explain(req))
+}
+
+func signEvidence(c fiber.Ctx, r *query.Reader) error {
+	signed, err := r.Evidence(c.Query("nonce"))
+	switch {
+	case err == nil:
+		return c.JSON(signed)
+	case errors.Is(err, query.ErrNoKey):
+		return fail(c, fiber.StatusNotImplemented, err)
+	default:
+		return fail(c, fiber.StatusBadRequest, err)
+	}
+}
--- /dev/null
+++ b/node/query/explain.go
@@ -0,0 +1,121 @@
+package query
+
+import (
+	"fmt"
+	"strings"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/questionnaire"
+	"auburnladder.example/core/statusapi"
+)
+
+// Request is what Explain is asked about.
+type Request struct {
+	Method string
+	Host   string
+	Path   string
+	Caller string
+}
+
+// Explain says how this node would treat req now, and why.
+func (r *Reader) Explain(req Request) statusapi.Explanation {
+	e := statusapi.Explanation{APIVersion: statusapi.APIVersion, VM: r.State.Identity.VM}
+	snap := r.State.Snapshot()
+	if snap == nil {
+		e.Outcome = statusapi.OutcomeNoRelease
+		e.Reason = ErrNoRelease.Error()
+		return e
+	}
+	e.Held = snap.Version
+	m := snap.MatchRoute(req.Host, req.Method, req.Path)
+	if m == nil {
+		e.Outcome = statusapi.OutcomeNoRoute
+		e.Reason = noRouteReason(snap, req)
+		return e
+	}
+	e.Route = explainRoute(m)
+	if !m.Owner.Allows(req.Caller) {
+		e.Outcome = statusapi.OutcomeForbidden
+		e.Reason = fmt.Sprintf("the callers of service %s do not include %q", m.Owner.Name, req.Caller)
+		return e
+	}
+	e.Candidates = r.candidates(m.Target.Name)
+	e.Outcome, e.Reason = judge(e.Candidates)
+	return e
+}
+
+// noRouteReason says which part of a request matches no route.
+func noRouteReason(snap *mesh.Snapshot, req Request) string {
+	var methods []string
+	known := false
+	for _, svc := range snap.Services() {
+		for _, h := range svc.Hosts {
+			known = known || h == req.Host
+		}
+		for _, r := range svc.Routes {
+			for _, method := range r.Methods {
+				if m := snap.MatchRoute(req.Host, method, req.Path); m != nil && m.Route.Name == r.Name && m.Owner == svc {
+					methods = append(methods, method)
+				}
+			}
+		}
+	}
+	switch {
+	case !known:
+		return fmt.Sprintf("no questionnaire names host %q", req.Host)
+	case len(methods) > 0:
+		return fmt.Sprintf("the path has routes for %s only", strings.Join(methods, ", "))
+	default:
+		return fmt.Sprintf("no route of host %q has a prefix of path %q", req.Host, req.Path)
+	}
+}
+
+func judge(candidates []statusapi.Candidate) (statusapi.Outcome, string) {
+	if len(candidates) == 0 {
+		return statusapi.OutcomeNoServer, "no VM of the service is listed"
+	}
+	for _, c := range candidates {
+		if c.Excluded == "" {
+			return statusapi.OutcomeRouted, ""
+		}
+	}
+	return statusapi.OutcomeNoServer, "every server is excluded"
+}
+
+func explainRoute(m *mesh.Match) *statusapi.ExplainedRoute {
+	r := m.Route
+	route := &statusapi.ExplainedRoute{
+		Service:    m.Owner.Name,
+		Name:       r.Name,
+		Target:     m.Target.Name,
+		Resource:   m.Resource.Name,
+		Callers:    m.Owner.Callers,
+		Priority:   string(m.Owner.Priority),
+		Idempotent: r.Idempotent,
+		Attempts:   r.Retry.Attempts,
+		Statuses:   r.Retry.Statuses,
+		RetryRule:  retryRule(r),
+		DeadlineMs: int64(r.Deadline),
+	}
+	prefix := fmt.Sprintf("routes[%s].", r.Name)
+	for _, a := range questionnaire.Answers(m.Owner) {
+		if strings.HasPrefix(a.Path, prefix) {
+			route.Answers = append(route.Answers, statusapi.RouteAnswer{Path: a.Path, Text: a.Text})
+		}
+	}
+	return route
+}
+
+func retryRule(r *mesh.Route) string {
+	switch {
+	case r.Retry.Attempts == 1:
+		return "never tried again"
+	case !r.Idempotent:
+		return fmt.Sprintf("up to %d attempts, another one only after an attempt that did not run", r.Retry.Attempts)
+	case len(r.Retry.Statuses) == 0:
+		return fmt.Sprintf("up to %d attempts, another one after an attempt without an answer", r.Retry.Attempts)
+	default:
+		return fmt.Sprintf("up to %d attempts, another one after an attempt without an answer or with status %s",
+			r.Retry.Attempts, strings.Trim(strings.ReplaceAll(fmt.Sprint(r.Retry.Statuses), " ", ", "), "[]"))
+	}
+}
--- /dev/null
+++ b/node/query/journal.go
@@ -0,0 +1,94 @@
+package query
+
+import (
+	"sync"
+	"time"
+
+	"auburnladder.example/core/statusapi"
+)
+
+// JournalSize is the number of entries that a journal holds.
+const JournalSize = 512
+
+// Journal is a bounded ring of what the node did and why. Its methods are safe for
+// concurrent use; requests never touch it.
+type Journal struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	entries [JournalSize]statusapi.JournalEntry
+	// recorded counts all entries ever; entry n stands at (n-1) modulo JournalSize.
+	recorded uint64
+}
+
+// NewJournal returns an empty journal.
+func NewJournal(now func() time.Time) *Journal {
+	return &Journal{now: now}
+}
+
+// Record appends e with its number, and with the time unless e carries one. A nil
+// journal records nothing.
+func (j *Journal) Record(e statusapi.JournalEntry) {
+	if j == nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if e.At.IsZero() {
+		e.At = j.now()
+	}
+	j.recorded++
+	e.Number = j.recorded
+	j.entries[(e.Number-1)%JournalSize] = e
+}
+
+// Since returns the entries with a number above after, oldest first, and how many
+// of them were dropped.
+func (j *Journal) Since(after uint64) (entries []statusapi.JournalEntry, dropped uint64) {
+	if j == nil {
+		return nil, 0
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if after >= j.recorded {
+		return nil, 0
+	}
+	first := after + 1
+	if oldest := j.recorded - min(j.recorded, JournalSize) + 1; oldest > first {
+		dropped = oldest - first
+		first = oldest
+	}
+	for n := first; n <= j.recorded; n++ {
+		entries = append(entries, j.entries[(n-1)%JournalSize])
+	}
+	return entries, dropped
+}
+
+// refused returns the newest refusal of each release, newest first.
+func (j *Journal) refused() []statusapi.RefusedRelease {
+	entries, _ := j.Since(0)
+	var all []statusapi.RefusedRelease
+	seen := make(map[string]bool)
+	for i := len(entries) - 1; i >= 0; i-- {
+		e := entries[i]
+		version := e.Release.String()
+		if e.Kind != statusapi.JournalReleaseRefused || seen[version] {
+			continue
+		}
+		seen[version] = true
+		all = append(all, statusapi.RefusedRelease{Version: e.Release, Reason: e.Cause, Field: e.Field, At: e.At})
+	}
+	return all
+}
+
+// conflicts returns the conflicts that the journal holds, newest first.
+func (j *Journal) conflicts() []statusapi.Conflict {
+	entries, _ := j.Since(0)
+	var all []statusapi.Conflict
+	for i := len(entries) - 1; i >= 0; i-- {
+		if e := entries[i]; e.Kind == statusapi.JournalReleaseConflict {
+			all = append(all, statusapi.Conflict{Kept: e.Release, Dropped: e.Other, At: e.At})
+		}
+	}
+	return all
+}
--- a/node/query/query.go
+++ b/node/query/query.go
@@ -2,17 +2,37 @@
 package query
 
 import (
+	"errors"
 	"time"
 
+	"auburnladder.example/core/evidence"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/routing"
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/state"
 )
 
+var (
+	// ErrNoRelease reports that the node holds no release yet.
+	ErrNoRelease = errors.New("this node holds no release yet")
+	// ErrNoKey reports that the node's settings give it no key to sign with.
+	ErrNoKey = errors.New("this node has no key: node_key is missing in its settings")
+)
+
 // Reader answers questions about one node. Its methods are safe for concurrent use.
 type Reader struct {
 	State *state.State
 	// Now returns the node's clock.
 	Now func() time.Time
+	// Journal holds what the node did; nil if it keeps none.
+	Journal *Journal
+	// Key signs evidence; nil if the settings give none.
+	Key *release.SigningKey
+	// Directory holds what the node knows about servers; nil if only the VM list is
+	// known.
+	Directory *routing.Directory
+	// Extend adds what other parts of the node know to a status; nil if nothing.
+	Extend func(*statusapi.Status)
 }
 
 // Status reports what the node holds and serves.
@@ -28,6 +48,8 @@
 		Now:            r.Now(),
 		Reader:         true,
 		VMListRevision: fleet.Revision,
+		Refused:        r.Journal.refused(),
+		Conflicts:      r.Journal.conflicts(),
 		Drain:          r.drain(),
 		Server:         statusapi.ServerUnknown,
 		VMs:            fleet.VMs,
@@ -37,6 +59,9 @@
 		s.KeyID = held.Snapshot.KeyID
 		s.HeldSince = held.Since
 	}
+	if r.Extend != nil {
+		r.Extend(&s)
+	}
 	return s
 }
 
@@ -55,3 +80,66 @@
 		return statusapi.DrainServing
 	}
 }
+
+// Config returns the configuration in force, or ErrNoRelease.
+func (r *Reader) Config() (statusapi.Config, error) {
+	snap := r.State.Snapshot()
+	if snap == nil {
+		return statusapi.Config{}, ErrNoRelease
+	}
+	return statusapi.Config{
+		APIVersion: statusapi.APIVersion,
+		VM:         r.State.Identity.VM,
+		Held:       snap.Version,
+		KeyID:      snap.KeyID,
+		Services:   snap.Services(),
+	}, nil
+}
+
+// JournalSince returns the journal's entries with a number above after.
+func (r *Reader) JournalSince(after uint64) statusapi.Journal {
+	entries, dropped := r.Journal.Since(after)
+	return statusapi.Journal{
+		APIVersion: statusapi.APIVersion,
+		VM:         r.State.Identity.VM,
+		Dropped:    dropped,
+		Entries:    append([]statusapi.JournalEntry{}, entries...),
+	}
+}
+
+// Evidence signs a statement of what the node holds, over the auditor's nonce. A
+// node without a release signs that it holds none.
+func (r *Reader) Evidence(nonce string) (*evidence.Signed, error) {
+	if err := evidence.CheckNonce(nonce); err != nil {
+		return nil, err
+	}
+	if r.Key == nil {
+		return nil, ErrNoKey
+	}
+	s := &evidence.Statement{
+		Format: evidence.Format,
+		Nonce:  nonce,
+		VM:     r.State.Identity.VM,
+		Domain: r.State.Identity.Domain,
+		At:     r.Now(),
+	}
+	if held := r.State.Held(); held != nil {
+		if err := describeHeld(s, held); err != nil {
+			return nil, err
+		}
+	}
+	return evidence.Sign(r.Key, s)
+}
+
+func describeHeld(s *evidence.Statement, held *state.Held) error {
+	s.Held = held.Snapshot.Version
+	s.HeldSince = held.Since
+	var err error
+	if s.Chunks, err = evidence.ChunksOf(held.Snapshot); err != nil {
+		return err
+	}
+	if held.Snapshot.Approved != nil {
+		s.Approved, err = held.Snapshot.Approved.Encode()
+	}
+	return err
+}
