--- a/node/command/command.go
+++ b/node/command/command.go
@@ -3,9 +3,13 @@
 package command
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/statusapi"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/state"
 	"github.com/rs/zerolog"
@@ -16,10 +20,23 @@
 type Commander struct {
 	State *state.State
 	Log   zerolog.Logger
+	// Journal records what was changed; nil if none is kept.
+	Journal Journal
 	// Now returns the time that is recorded with a change.
 	Now func() time.Time
 }
 
+// Journal records events for operators.
+type Journal interface {
+	Record(e statusapi.JournalEntry)
+}
+
+func (c *Commander) record(e statusapi.JournalEntry) {
+	if c.Journal != nil {
+		c.Journal.Record(e)
+	}
+}
+
 // ApplyRelease puts snap in force unless the node holds the same or a newer
 // release. It reports whether the release in force changed.
 func (c *Commander) ApplyRelease(snap *mesh.Snapshot) bool {
@@ -30,10 +47,34 @@
 			Stringer("digest", snap.Version.Digest).
 			Str("key_id", snap.KeyID).
 			Msg("release in force")
+		c.record(statusapi.JournalEntry{
+			Kind:    statusapi.JournalReleaseApplied,
+			Cause:   "newer than the release held, approved with key " + snap.KeyID,
+			Release: snap.Version,
+		})
 	}
 	return changed
 }
 
+// RefuseRelease records that a release was not put in force, and why. The release
+// in force stays.
+func (c *Commander) RefuseRelease(v release.Version, reason error) {
+	entry := statusapi.JournalEntry{Kind: statusapi.JournalReleaseRefused, Cause: reason.Error(), Release: v}
+	var field *mesh.FieldError
+	if errors.As(reason, &field) {
+		entry.Service = field.Service
+		entry.Field = field.Field
+	}
+	c.Log.Warn().Str("event", "release-refused").
+		Uint64("sequence", v.Sequence).
+		Stringer("digest", v.Digest).
+		Str("service", entry.Service).
+		Str("field", entry.Field).
+		Err(reason).
+		Msg("release not put in force")
+	c.record(entry)
+}
+
 // ApplyVMList replaces the VM list by one of a higher revision.
 func (c *Commander) ApplyVMList(list *vmlist.List) bool {
 	changed := c.State.ReplaceVMs(list)
@@ -42,6 +83,10 @@
 			Uint64("revision", list.Revision).
 			Int("vms", len(list.VMs)).
 			Msg("VM list in use")
+		c.record(statusapi.JournalEntry{
+			Kind:  statusapi.JournalVMListApplied,
+			Cause: fmt.Sprintf("revision %d with %d VMs", list.Revision, len(list.VMs)),
+		})
 	}
 	return changed
 }
--- a/node/distribution/distribution.go
+++ b/node/distribution/distribution.go
@@ -70,6 +70,9 @@
 	}
 	verified, err := d.Trust.Verify(approved)
 	if err != nil {
+		if claimed, unreadable := approved.Version(); unreadable == nil {
+			d.Command.RefuseRelease(claimed, err)
+		}
 		return err
 	}
 	chunks, err := d.fetch(ctx, verified.Manifest)
@@ -81,6 +84,7 @@
 		return data, found
 	})
 	if err != nil {
+		d.Command.RefuseRelease(verified.Version, err)
 		return fmt.Errorf("release %s refused: %w", verified.Version, err)
 	}
 	d.Command.ApplyRelease(snap)
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
+	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/admin"
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/distribution"
@@ -45,6 +46,7 @@
 	cfg      *settings.Settings
 	log      zerolog.Logger
 	state    *state.State
+	reader   *query.Reader
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
@@ -59,13 +61,29 @@
 		return nil, err
 	}
 	st := state.New(state.Identity{VM: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region})
-	cmd := &command.Commander{State: st, Log: log, Now: time.Now}
-	n := &Node{cfg: cfg, log: log, state: st}
+	reader, err := newReader(cfg, st)
+	if err != nil {
+		return nil, err
+	}
+	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
+	n := &Node{cfg: cfg, log: log, state: st, reader: reader}
 	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	return n, nil
 }
 
+// newReader returns what operators read the node through.
+func newReader(cfg *settings.Settings, st *state.State) (*query.Reader, error) {
+	r := &query.Reader{State: st, Now: time.Now, Journal: query.NewJournal(time.Now)}
+	r.Journal.Record(statusapi.JournalEntry{Kind: statusapi.JournalStarted})
+	if cfg.NodeKey == "" {
+		return r, nil
+	}
+	var err error
+	r.Key, err = release.ParseSigningKey(cfg.NodeKey)
+	return r, err
+}
+
 func platformConfig(cfg *settings.Settings) platform.Config {
 	urls := make([]string, len(cfg.Platform.Addresses))
 	for i, a := range cfg.Platform.Addresses {
@@ -115,7 +133,7 @@
 	if err := serve("peer", n.cfg.Listen.Peer, n.peers.Serve); err != nil {
 		return err
 	}
-	app := admin.New(&query.Reader{State: n.state, Now: time.Now})
+	app := admin.New(n.reader)
 	n.shutdown = append(n.shutdown, func() { _ = app.Shutdown() })
 	if err := serve("admin", n.cfg.Listen.Admin, func(l net.Listener) error {
 		return app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
--- a/node/query/explain.go
+++ b/node/query/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"auburnladder.example/core/mesh"
@@ -60,6 +61,8 @@
 			}
 		}
 	}
+	slices.Sort(methods)
+	methods = slices.Compact(methods)
 	switch {
 	case !known:
 		return fmt.Sprintf("no questionnaire names host %q", req.Host)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -32,6 +32,9 @@
 	Platform Platform `yaml:"platform" check:"required"`
 	// ApprovalKeys are the trusted public keys, each "key-id:base64".
 	ApprovalKeys []string `yaml:"approval_keys" check:"required"`
+	// NodeKey is the private key with which the node signs evidence for audits, as
+	// keygen writes it with the VM's id as the key's id; "" if none.
+	NodeKey string `yaml:"node_key"`
 	// Preset weighs convergence time against control bytes.
 	Preset Preset `yaml:"preset"`
 	Log    Log    `yaml:"log"`
@@ -160,7 +163,24 @@
 			})
 		}
 	}
-	return problems
+	return append(problems, s.validateNodeKey()...)
+}
+
+// validateNodeKey names no part of the key in what it reports.
+func (s *Settings) validateNodeKey() []yamlcheck.Problem {
+	if s.NodeKey == "" {
+		return nil
+	}
+	const expected = "vm-id:base64 as keygen writes it to FILE"
+	key, err := release.ParseSigningKey(s.NodeKey)
+	if err != nil {
+		return []yamlcheck.Problem{{Field: "node_key", Found: "text that is not a private key", Expected: expected}}
+	}
+	if key.ID != s.VM.ID {
+		found := fmt.Sprintf("a key with id %q", key.ID)
+		return []yamlcheck.Problem{{Field: "node_key", Related: "vm.id", Found: found, Expected: fmt.Sprintf("the VM's id %q", s.VM.ID)}}
+	}
+	return nil
 }
 
 // Validate checks the endpoints and limits of the platform's service.
--- a/node/settings/template.go
+++ b/node/settings/template.go
@@ -42,6 +42,10 @@
 approval_keys:
   - audit-2026:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=
 
+# Private key with which the node signs evidence for audits, as keygen --id VM-ID
+# writes it; without it an audit finds this VM not compliant.
+# node_key: programma-1:...
+
 # convergence spreads releases fastest; bytes spends the fewest control bytes.
 preset: %s
 
