Add audit and explain; read questionnaires from files as well

audit asks every VM directly for signed evidence over a fresh nonce and succeeds only if all hold exactly the approved release; it writes a table, JSON with the evidence itself and one HTML page that needs no network. explain shows route, answers, retry, deadline and candidates as one node sees them.

Run: go test -race -count 5 ./cli/...

--- /dev/null
+++ b/cli/app/fleet_test.go
@@ -0,0 +1,263 @@
+package app
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+
+	"auburnladder.example/cli/console"
+	"auburnladder.example/cli/releasedir"
+	"auburnladder.example/core/evidence"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/statusapi"
+	"auburnladder.example/core/vmlist"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// fakeNode answers on a real admin port like a node that holds a release.
+type fakeNode struct {
+	// mu guards the fields while the node answers.
+	mu     sync.Mutex
+	vm     vmlist.VM
+	key    *release.SigningKey
+	held   *releasedir.Dir
+	since  time.Time
+	status statusapi.Status
+	// replay answers every audit with the evidence given to the first one.
+	replay   bool
+	recorded *evidence.Signed
+}
+
+func (n *fakeNode) handle(ctx *fasthttp.RequestCtx) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch string(ctx.Path()) {
+	case statusapi.StatusPath:
+		writeJSON(ctx, n.status)
+	case statusapi.EvidencePath:
+		writeJSON(ctx, n.sign(string(ctx.QueryArgs().Peek("nonce"))))
+	default:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+	}
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	ctx.SetBody(data)
+}
+
+func (n *fakeNode) sign(nonce string) *evidence.Signed {
+	if n.replay && n.recorded != nil {
+		return n.recorded
+	}
+	approved, err := n.held.Approved.Encode()
+	if err != nil {
+		panic(err)
+	}
+	signed, err := evidence.Sign(n.key, &evidence.Statement{
+		Format: evidence.Format, Nonce: nonce, VM: n.vm.ID, Domain: n.vm.Domain,
+		Held: n.held.Version, Chunks: n.held.Manifest.Chunks, Approved: approved, HeldSince: n.since, At: n.since,
+	})
+	if err != nil {
+		panic(err)
+	}
+	n.recorded = signed
+	return signed
+}
+
+// fakeFleet is three nodes in three domains that hold the second release.
+type fakeFleet struct {
+	workspace
+	nodes         []*fakeNode
+	vms, nodeKeys string
+	servers       []*fasthttp.Server
+}
+
+func newFleet(t *testing.T) *fakeFleet {
+	f := &fakeFleet{workspace: newWorkspace(t)}
+	held, err := releasedir.Read(f.second)
+	So(err, ShouldBeNil)
+	var lines []string
+	for i, domain := range []string{"a", "b", "c"} {
+		id := "programma-" + domain
+		key, err := release.GenerateKey(id)
+		So(err, ShouldBeNil)
+		lines = append(lines, key.Public())
+		n := &fakeNode{key: key, held: held, since: start.Add(time.Duration(i) * time.Second)}
+		n.vm = vmlist.VM{ID: id, Service: "programma", Domain: domain, Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+		f.listen(n)
+		f.nodes = append(f.nodes, n)
+	}
+	f.nodeKeys = filepath.Join(f.dir, "node-keys")
+	So(os.WriteFile(f.nodeKeys, []byte("# keys\n"+strings.Join(lines, "\n")+"\n"), 0o644), ShouldBeNil)
+	f.writeList()
+	return f
+}
+
+func (f *fakeFleet) listen(n *fakeNode) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	n.vm.Admin = netip.MustParseAddrPort(l.Addr().String())
+	srv := &fasthttp.Server{Handler: n.handle, CloseOnShutdown: true}
+	f.servers = append(f.servers, srv)
+	go func() { _ = srv.Serve(l) }()
+}
+
+// writeList publishes the list of VMs, in a file and on every node.
+func (f *fakeFleet) writeList() {
+	var vms []vmlist.VM
+	for _, n := range f.nodes {
+		vms = append(vms, n.vm)
+	}
+	data, err := (&vmlist.List{VMs: vms}).Encode()
+	So(err, ShouldBeNil)
+	f.vms = filepath.Join(f.dir, "vms.json")
+	So(os.WriteFile(f.vms, data, 0o644), ShouldBeNil)
+	for _, n := range f.nodes {
+		n.status = statusapi.Status{
+			APIVersion: statusapi.APIVersion, VM: n.vm.ID, Held: n.held.Version, HeldSince: n.since,
+			Now: start.Add(time.Minute), Drain: statusapi.DrainServing, VMs: vms,
+		}
+	}
+}
+
+func (f *fakeFleet) stop() {
+	for _, s := range f.servers {
+		_ = s.Shutdown()
+	}
+}
+
+func (f *fakeFleet) audit(more ...string) result {
+	args := append([]string{"audit", "--release", f.second, "--trust", f.trust, "--node-keys", f.nodeKeys}, more...)
+	return runCLI(args...)
+}
+
+func TestAuditPasses(t *testing.T) {
+	Convey("An audit passes if every VM holds exactly the approved release", t, func() {
+		f := newFleet(t)
+		defer f.stop()
+		page := filepath.Join(f.dir, "audit.html")
+		r := f.audit("--vms", f.vms, "--html", page, "--output", "json")
+		So(r.err, ShouldBeEmpty)
+		So(r.code, ShouldEqual, console.ExitOK)
+		var report struct {
+			Compliant bool
+			VMs       []struct {
+				VM       string
+				Behind   float64          `json:"behind_first_s"`
+				Evidence *evidence.Signed `json:"evidence"`
+			} `json:"vms"`
+		}
+		So(json.Unmarshal([]byte(r.out), &report), ShouldBeNil)
+		So(report.Compliant, ShouldBeTrue)
+		So(report.VMs, ShouldHaveLength, 3)
+		So(report.VMs[2].Behind, ShouldEqual, 2)
+		So(report.VMs[2].Evidence, ShouldNotBeNil)
+		html, err := os.ReadFile(page)
+		So(err, ShouldBeNil)
+		So(string(html), ShouldContainSubstring, "every VM holds exactly the approved release")
+		So(string(html), ShouldNotContainSubstring, "http")
+
+		So(f.audit("--node", f.nodes[0].vm.Admin.String()).code, ShouldEqual, console.ExitOK)
+	})
+}
+
+func TestAuditNamesWhatIsNotCompliant(t *testing.T) {
+	cases := []struct {
+		name  string
+		bring func(f *fakeFleet, n *fakeNode)
+		want  string
+	}{
+		{"a node that holds another release", func(f *fakeFleet, n *fakeNode) {
+			held, err := releasedir.Read(f.first)
+			So(err, ShouldBeNil)
+			n.held = held
+		}, "holds release 1@"},
+		{"a forged approval", func(f *fakeFleet, n *fakeNode) {
+			forger, err := release.GenerateKey("ops")
+			So(err, ShouldBeNil)
+			held := *n.held
+			held.Approved = forger.Approve(&release.Approved{Manifest: held.Encoded})
+			n.held = &held
+		}, "no valid approval by a trusted key"},
+		{"a replayed answer", func(f *fakeFleet, n *fakeNode) {
+			So(f.audit("--vms", f.vms).code, ShouldEqual, console.ExitOK)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.replay = true
+		}, "nonce differs"},
+		{"an unreachable VM", func(f *fakeFleet, n *fakeNode) {
+			n.vm.Admin = netip.MustParseAddrPort("127.0.0.1:1")
+			f.writeList()
+		}, "ask 127.0.0.1:1"},
+		{"another node that answers in its place", func(f *fakeFleet, n *fakeNode) {
+			n.vm.Admin = f.nodes[0].vm.Admin
+			f.writeList()
+		}, `signed with the key of "programma-a"`},
+		{"a VM without a listed key", func(f *fakeFleet, n *fakeNode) {
+			replaceIn(f.nodeKeys, n.key.Public()+"\n", "")
+		}, "no public key of this VM is listed"},
+	}
+	for _, c := range cases {
+		Convey("An audit fails on "+c.name, t, func() {
+			f := newFleet(t)
+			defer f.stop()
+			c.bring(f, f.nodes[1])
+			r := f.audit("--vms", f.vms)
+			So(r.code, ShouldEqual, console.ExitFailed)
+			So(r.err, ShouldContainSubstring, "1 of 3 VMs are not compliant")
+			for line := range strings.Lines(r.out) {
+				if strings.HasPrefix(line, "programma-b") {
+					So(line, ShouldContainSubstring, "NOT COMPLIANT")
+					So(line, ShouldContainSubstring, c.want)
+				} else {
+					So(line, ShouldNotContainSubstring, "NOT COMPLIANT")
+				}
+			}
+		})
+	}
+	Convey("An audit against a release that nobody approved fails before asking", t, func() {
+		f := newFleet(t)
+		defer f.stop()
+		So(os.Remove(filepath.Join(f.second, "approved.json")), ShouldBeNil)
+		So(f.audit("--vms", f.vms).code, ShouldEqual, console.ExitFailed)
+	})
+}
+
+func TestStatusShowsWhoLagsAndWhy(t *testing.T) {
+	Convey("Given one node that refused the newest release, and an unreachable one", t, func() {
+		f := newFleet(t)
+		defer f.stop()
+		old, err := releasedir.Read(f.first)
+		So(err, ShouldBeNil)
+		f.nodes[2].vm.Admin = netip.MustParseAddrPort("127.0.0.1:1")
+		f.writeList()
+		lagging := &f.nodes[1].status
+		lagging.Held = old.Version
+		lagging.Refused = []statusapi.RefusedRelease{{Version: f.nodes[0].held.Version, Reason: "chunk is missing"}}
+		lagging.Conflicts = []statusapi.Conflict{{Kept: old.Version, Dropped: release.Version{Sequence: 1}}}
+		r := runCLI("status", "--node", f.nodes[0].vm.Admin.String())
+		So(r.code, ShouldEqual, console.ExitOK)
+		lines := strings.Split(r.out, "\n")
+		So(lines[1], ShouldContainSubstring, "2@")
+		So(lines[1], ShouldContainSubstring, "1m0s")
+		So(lines[2], ShouldContainSubstring, "refused 2@")
+		So(lines[2], ShouldContainSubstring, "chunk is missing")
+		So(lines[3], ShouldContainSubstring, "unreachable")
+		So(lines[4], ShouldContainSubstring, "publish release 2 to end it")
+		So(lines[5], ShouldStartWith, "1 of 3 VMs hold 2@")
+	})
+}
--- a/cli/command/compile.go
+++ b/cli/command/compile.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -11,6 +12,9 @@
 	"auburnladder.example/core/release"
 )
 
+// defaultDeployment names the deployment of a first release without a name.
+const defaultDeployment = "default"
+
 type compileFlags struct {
 	questionnaires string
 	base           string
@@ -23,7 +27,7 @@
 	cmd := app.Command("compile", "Compile all questionnaires of a deployment into a release.")
 	cmd.Flag("questionnaires", "Directory with one YAML file for each service.").Required().ExistingDirVar(&f.questionnaires)
 	cmd.Flag("base", "Directory of the release that the new one follows; left out for the first.").ExistingDirVar(&f.base)
-	cmd.Flag("deployment", "Name of the deployment; needed without --base.").StringVar(&f.deployment)
+	cmd.Flag("deployment", "Name of the deployment; that of --base, or default, if left out.").StringVar(&f.deployment)
 	cmd.Flag("out", "Directory to write; it must not hold a release.").Required().StringVar(&f.out)
 	cmd.Action(func(*kingpin.ParseContext) error { return compile(c, f) })
 }
@@ -38,7 +42,9 @@
 		return err
 	}
 	opts := questionnaire.Options{Deployment: f.deployment}
-	if f.base != "" {
+	if f.base == "" {
+		opts.Deployment = cmp.Or(f.deployment, defaultDeployment)
+	} else {
 		base, err := releasedir.Read(f.base)
 		if err != nil {
 			return fmt.Errorf("base: %w", err)
--- a/cli/command/questionnaire.go
+++ b/cli/command/questionnaire.go
@@ -19,13 +19,13 @@
 	group := app.Command("questionnaire", "Write and check questionnaires.")
 
 	init := group.Command("init", "Write a commented questionnaire for a service.")
-	service := init.Flag("service", "Name of the service.").Required().String()
-	file := init.Arg("file", "File to write; it must not exist.").Required().String()
+	service := init.Flag("service", "Name of the service.").Default("my-service").String()
+	file := init.Arg("file", "File to write, which must not exist; the standard output if left out.").String()
 	init.Action(func(*kingpin.ParseContext) error { return initQuestionnaire(c, *service, *file) })
 
-	check := group.Command("check", "Check all questionnaires of a deployment and print every error.")
-	dir := check.Arg("directory", "Directory with one YAML file for each service.").Required().ExistingDir()
-	check.Action(func(*kingpin.ParseContext) error { return checkQuestionnaires(c, *dir) })
+	check := group.Command("check", "Check all questionnaires of a deployment together and print every error.")
+	paths := check.Arg("path", "Directories with one YAML file for each service, or files.").Required().ExistingFilesOrDirs()
+	check.Action(func(*kingpin.ParseContext) error { return checkQuestionnaires(c, *paths) })
 }
 
 func initQuestionnaire(c *console.Console, service, file string) error {
@@ -34,6 +34,10 @@
 	if err != nil {
 		return fmt.Errorf("service %q: expected lower-case letters, digits and hyphens", service)
 	}
+	if file == "" {
+		c.Printf("%s", text)
+		return nil
+	}
 	if err := writeNew(file, text, publicMode); err != nil {
 		return err
 	}
@@ -41,8 +45,8 @@
 	return nil
 }
 
-func checkQuestionnaires(c *console.Console, dir string) error {
-	files, err := readQuestionnaires(dir)
+func checkQuestionnaires(c *console.Console, paths []string) error {
+	files, err := readQuestionnaires(paths...)
 	if err != nil {
 		return err
 	}
@@ -63,22 +67,40 @@
 	return err
 }
 
-// readQuestionnaires reads every YAML file of dir, in order of name.
-func readQuestionnaires(dir string) ([]questionnaire.File, error) {
-	paths, err := filepath.Glob(filepath.Join(dir, questionnairePattern))
+// readQuestionnaires reads the files in paths and every YAML file of the
+// directories in paths, in order of name.
+func readQuestionnaires(paths ...string) ([]questionnaire.File, error) {
+	var files []questionnaire.File
+	for _, path := range paths {
+		names, err := namesIn(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, name := range names {
+			data, err := os.ReadFile(name)
+			if err != nil {
+				return nil, fmt.Errorf("questionnaires: %w", err)
+			}
+			files = append(files, questionnaire.File{Name: name, Data: data})
+		}
+	}
+	return files, nil
+}
+
+func namesIn(path string) ([]string, error) {
+	info, err := os.Stat(path)
 	if err != nil {
 		return nil, fmt.Errorf("questionnaires: %w", err)
 	}
-	if len(paths) == 0 {
-		return nil, fmt.Errorf("questionnaires: no file %s in %s", questionnairePattern, dir)
+	if !info.IsDir() {
+		return []string{path}, nil
 	}
-	files := make([]questionnaire.File, len(paths))
-	for i, path := range paths {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			return nil, fmt.Errorf("questionnaires: %w", err)
-		}
-		files[i] = questionnaire.File{Name: path, Data: data}
+	names, err := filepath.Glob(filepath.Join(path, questionnairePattern))
+	if err != nil {
+		return nil, fmt.Errorf("questionnaires: %w", err)
 	}
-	return files, nil
+	if len(names) == 0 {
+		return nil, fmt.Errorf("questionnaires: no file %s in %s", questionnairePattern, path)
+	}
+	return names, nil
 }
--- a/cli/query/query.go
+++ b/cli/query/query.go
@@ -12,4 +12,6 @@
 	registerVerify(app, c)
 	registerDiff(app, c)
 	registerStatus(app, c)
+	registerAudit(app, c)
+	registerExplain(app, c)
 }
--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -60,6 +60,14 @@
 	return status.VMs, nil
 }
 
+// source says where the list of VMs comes from.
+func (f *fleetFlags) source() string {
+	if f.vms != "" {
+		return "file " + f.vms
+	}
+	return "node " + f.node
+}
+
 func registerStatus(app *kingpin.Application, c *console.Console) {
 	cmd := app.Command("status", "Show which release is in force on each node, which node lags and why.")
 	flags := addFleetFlags(cmd)
