--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,45 @@
+package e2e
+
+import (
+	"encoding/json"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// statusAnswer is the part of the answer of "auburnladder status" that is checked.
+type statusAnswer struct {
+	Newest struct {
+		Sequence uint64 `json:"sequence"`
+	} `json:"newest"`
+	InForce int `json:"in_force"`
+}
+
+func TestWholePath(t *testing.T) {
+	Convey("Ten nodes serve calls under a release and take over an amended one", t, func() {
+		c, first := start(t)
+		So(c.VMs, ShouldHaveLength, 10)
+		load, err := c.StartLoad(4, 1)
+		So(err, ShouldBeNil)
+		So(load.More(200), ShouldBeNil)
+
+		amended, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
+		So(err, ShouldBeNil)
+		So(c.Publish(amended), ShouldBeNil)
+		So(c.InForce(amended), ShouldBeNil)
+		So(load.More(200), ShouldBeNil)
+		load.Stop()
+
+		out, err := c.CLI("status", "--node", c.VMs[3].Admin.String(), "--output", "json")
+		So(err, ShouldBeNil)
+		var status statusAnswer
+		So(json.Unmarshal(out, &status), ShouldBeNil)
+		So(status.InForce, ShouldEqual, 10)
+		So(status.Newest.Sequence, ShouldEqual, 2)
+
+		sum, err := c.CheckCalls(load.Calls.Records())
+		So(err, ShouldBeNil)
+		// No fault was brought about, so every call got a backend server's answer.
+		So(sum.Whole["programma"]+sum.Whole["inschrijving"], ShouldEqual, sum.Calls)
+	})
+}
