Keep callers moving while a node is paused

With 12 callers all of them could wait at the paused node, so that the step to the next fault took the client's timeout of 30 s (one or two of three runs took 35 s). With 24 callers a step ends in any case.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -17,13 +17,15 @@
 	pauseRounds = 4
 	// callsPerStep is how many calls end between two faults.
 	callsPerStep = 80
+	// callers is above the share of callsPerStep that a paused node holds up.
+	callers = 24
 )
 
 // breakNodes runs one fault after the other while calls run and checks all calls.
 func breakNodes(t *testing.T, rounds int, begin, end func(*harness.Cluster, *harness.VM) error) {
 	c, _ := start(t)
 	rng := rand.New(rand.NewPCG(faultSeed, 0))
-	load, err := c.StartLoad(12, faultSeed)
+	load, err := c.StartLoad(callers, faultSeed)
 	So(err, ShouldBeNil)
 	So(load.More(callsPerStep), ShouldBeNil)
 	for range rounds {
--- a/e2e/harness/load.go
+++ b/e2e/harness/load.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// callTimeout bounds one call; it is above every deadline of the examples.
-	callTimeout = 30 * time.Second
+	// callTimeout bounds one call; it is above the deadlines of all kinds.
+	callTimeout = 15 * time.Second
 	// callPause is how long a worker rests between two calls.
 	callPause = 2 * time.Millisecond
 )
