Correct the published VM list by what probing finds

Cause: the list lags, so a dead server stayed a candidate until the platform noticed. Change: the node runs the failure detector; its view marks leaving VMs and takes dead ones out of the candidates. If most of a service look dead, all its servers stay candidates. Ruled out: trusting the detector without that bound, since a node whose datagrams are lost would then serve nothing although its sessions work. Before: dead VMs were candidates. Conclusion: the view changes who is tried, never what configuration is held.

--- a/node/command/command.go
+++ b/node/command/command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"auburnladder.example/core/membership"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
@@ -20,12 +21,19 @@
 type Commander struct {
 	State *state.State
 	Log   zerolog.Logger
+	// Members learns each VM list that was put in use; nil if none does.
+	Members Members
 	// Journal records what was changed; nil if none is kept.
 	Journal Journal
 	// Now returns the time that is recorded with a change.
 	Now func() time.Time
 }
 
+// Members probes the VMs of a list.
+type Members interface {
+	ReplaceList(list *vmlist.List)
+}
+
 // Journal records events for operators.
 type Journal interface {
 	Record(e statusapi.JournalEntry)
@@ -87,6 +95,14 @@
 			Kind:  statusapi.JournalVMListApplied,
 			Cause: fmt.Sprintf("revision %d with %d VMs", list.Revision, len(list.VMs)),
 		})
+		if c.Members != nil {
+			c.Members.ReplaceList(list)
+		}
 	}
 	return changed
 }
+
+// ApplyView corrects the VM list by what probing found.
+func (c *Commander) ApplyView(view *membership.View) {
+	c.State.ReplaceView(view)
+}
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"auburnladder.example/core/membership"
+	"auburnladder.example/node/probe"
+	"auburnladder.example/node/settings"
+)
+
+// startProber opens the failure detector and connects it with the node's state.
+func (n *Node) startProber() error {
+	prober, err := probe.Listen(n.cfg.Listen.Peer, probe.Options{
+		VM:     n.cfg.VM.ID,
+		Config: membershipConfig(n.cfg.Preset),
+		Held:   n.held,
+		OnView: n.command.ApplyView,
+		Log:    n.log,
+	})
+	if err != nil {
+		return err
+	}
+	n.prober = prober
+	n.command.Members = prober
+	return nil
+}
+
+func membershipConfig(p settings.Preset) membership.Config {
+	if p == settings.PresetBytes {
+		return membership.Bytes()
+	}
+	return membership.Convergence()
+}
+
+// held is what this node tells the members that it probes.
+func (n *Node) held() probe.Held {
+	h := probe.Held{VMListRevision: n.state.Fleet().Revision}
+	if snap := n.state.Snapshot(); snap != nil {
+		h.Release = snap.Version
+	}
+	return h
+}
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/platform"
+	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
@@ -47,6 +48,8 @@
 	log      zerolog.Logger
 	state    *state.State
 	reader   *query.Reader
+	command  *command.Commander
+	prober   *probe.Prober
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
@@ -66,7 +69,7 @@
 		return nil, err
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
-	n := &Node{cfg: cfg, log: log, state: st, reader: reader}
+	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
 	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	return n, nil
@@ -111,7 +114,11 @@
 		})
 		return nil
 	}
-	err := n.listen(serve)
+	err := n.startProber()
+	if err == nil {
+		tasks.Go(func() { n.prober.Run(ctx) })
+		err = n.listen(serve)
+	}
 	if err == nil {
 		tasks.Go(func() { n.driver.Run(ctx) })
 		n.log.Info().Str("event", "started").Msg("node started")
--- a/node/state/fleet.go
+++ b/node/state/fleet.go
@@ -1,36 +1,101 @@
 package state
 
-import "auburnladder.example/core/vmlist"
+import (
+	"auburnladder.example/core/membership"
+	"auburnladder.example/core/vmlist"
+)
 
-// Fleet is an immutable VM list with its indexes.
+// Fleet is an immutable VM list, corrected by what probing found, with its indexes.
 type Fleet struct {
-	Revision  uint64
+	Revision uint64
+	// VMs is the list as published. Leaving is also set for VMs that announced that
+	// they leave.
 	VMs       []vmlist.VM
+	list      *vmlist.List
+	view      *membership.View
 	byID      map[string]*vmlist.VM
-	byService map[string][]*vmlist.VM
+	byService map[string]*servers
 }
 
-func newFleet(l *vmlist.List) *Fleet {
+// servers are the VMs of one service.
+type servers struct {
+	all  []*vmlist.VM
+	live []*vmlist.VM
+}
+
+// usable returns the live servers, or all of them if most look dead: then the fault
+// is more likely in the probing than in the servers, and trying a dead one is harmless.
+func (s *servers) usable() []*vmlist.VM {
+	if 2*len(s.live) < len(s.all) {
+		return s.all
+	}
+	return s.live
+}
+
+func newFleet(l *vmlist.List, view *membership.View) *Fleet {
 	f := &Fleet{
 		Revision:  l.Revision,
-		VMs:       l.VMs,
+		VMs:       make([]vmlist.VM, len(l.VMs)),
+		list:      l,
+		view:      view,
 		byID:      make(map[string]*vmlist.VM, len(l.VMs)),
-		byService: make(map[string][]*vmlist.VM),
+		byService: make(map[string]*servers),
 	}
-	for i := range l.VMs {
-		vm := &l.VMs[i]
-		f.byID[vm.ID] = vm
-		f.byService[vm.Service] = append(f.byService[vm.Service], vm)
+	copy(f.VMs, l.VMs)
+	for i := range f.VMs {
+		f.add(&f.VMs[i])
 	}
 	return f
 }
 
+func (f *Fleet) add(vm *vmlist.VM) {
+	f.byID[vm.ID] = vm
+	health := f.Health(vm.ID)
+	if health == membership.Leaving {
+		vm.Leaving = true
+	}
+	s := f.byService[vm.Service]
+	if s == nil {
+		s = &servers{}
+		f.byService[vm.Service] = s
+	}
+	s.all = append(s.all, vm)
+	if health != membership.Dead {
+		s.live = append(s.live, vm)
+	}
+}
+
 // VM returns the VM with the given id, or nil.
 func (f *Fleet) VM(id string) *vmlist.VM {
 	return f.byID[id]
 }
 
-// Servers returns the VMs of a service, leaving ones included.
+// Servers returns the VMs of a service that may be alive, leaving ones included. If
+// most of a service look dead, it returns all of them.
 func (f *Fleet) Servers(service string) []*vmlist.VM {
-	return f.byService[service]
+	if s := f.byService[service]; s != nil {
+		return s.usable()
+	}
+	return nil
+}
+
+// Health returns what probing found about a VM. A VM that was not probed yet counts
+// as alive.
+func (f *Fleet) Health(id string) membership.State {
+	m, known := f.view.Get(id)
+	if !known {
+		return membership.Alive
+	}
+	return m.State
+}
+
+// Live returns the VMs that are not found dead, leaving ones included.
+func (f *Fleet) Live() []vmlist.VM {
+	live := make([]vmlist.VM, 0, len(f.VMs))
+	for _, vm := range f.VMs {
+		if f.Health(vm.ID) != membership.Dead {
+			live = append(live, vm)
+		}
+	}
+	return live
 }
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnladder.example/core/membership"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/vmlist"
 )
@@ -36,7 +37,7 @@
 // New returns a state that holds no release and an empty VM list.
 func New(id Identity) *State {
 	s := &State{Identity: id}
-	s.vms.Store(newFleet(&vmlist.List{}))
+	s.vms.Store(newFleet(&vmlist.List{}, membership.EmptyView()))
 	return s
 }
 
@@ -53,7 +54,7 @@
 	return nil
 }
 
-// Fleet returns the VM list in use.
+// Fleet returns the VM list in use, corrected by the view of the members.
 func (s *State) Fleet() *Fleet {
 	return s.vms.Load()
 }
@@ -87,13 +88,26 @@
 // ReplaceVMs installs a VM list if its revision is higher than the one in use, and
 // reports whether it did. It is called by package command.
 func (s *State) ReplaceVMs(list *vmlist.List) bool {
-	next := newFleet(list)
 	for {
 		old := s.vms.Load()
 		if list.Revision <= old.Revision {
 			return false
 		}
-		if s.vms.CompareAndSwap(old, next) {
+		if s.vms.CompareAndSwap(old, newFleet(list, old.view)) {
+			return true
+		}
+	}
+}
+
+// ReplaceView installs a view of the members if it is newer than the one in use. It
+// is called by package command.
+func (s *State) ReplaceView(view *membership.View) bool {
+	for {
+		old := s.vms.Load()
+		if view.Generation <= old.view.Generation {
+			return false
+		}
+		if s.vms.CompareAndSwap(old, newFleet(old.list, view)) {
 			return true
 		}
 	}
