Ask nodes briefly and report progress of long reads

The list of VMs grows with the fleet, and status asked every node for all of it: the traffic would have grown with the square of the fleet. Only the first node sends it.

--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc/iter"
@@ -41,6 +42,9 @@
 type Client struct {
 	config Config
 	http   *fasthttp.Client
+	// Progress, if set, is called after each VM that Each is done with, from several
+	// goroutines.
+	Progress func(done, total int)
 }
 
 // NewClient returns a client with the given bounds.
@@ -76,10 +80,19 @@
 	return nil
 }
 
-// Status asks one node for its status.
+// Status asks one node for its status, the list of VMs included.
 func (c *Client) Status(addr netip.AddrPort) (*statusapi.Status, error) {
+	return c.status(addr, statusapi.StatusPath)
+}
+
+// BriefStatus asks one node for its status without what grows with the fleet.
+func (c *Client) BriefStatus(addr netip.AddrPort) (*statusapi.Status, error) {
+	return c.status(addr, statusapi.BriefStatusPath)
+}
+
+func (c *Client) status(addr netip.AddrPort, path string) (*statusapi.Status, error) {
 	var s statusapi.Status
-	if err := c.Get(addr, statusapi.StatusPath, &s); err != nil {
+	if err := c.Get(addr, path, &s); err != nil {
 		return nil, err
 	}
 	if s.APIVersion != statusapi.APIVersion {
@@ -90,8 +103,15 @@
 
 // Each calls ask for every VM, several at once, and returns the results in order.
 func Each[T any](c *Client, vms []vmlist.VM, ask func(vm vmlist.VM) T) []T {
+	var done atomic.Int64
 	mapper := iter.Mapper[vmlist.VM, T]{MaxGoroutines: c.config.Parallel}
-	return mapper.Map(vms, func(vm *vmlist.VM) T { return ask(*vm) })
+	return mapper.Map(vms, func(vm *vmlist.VM) T {
+		result := ask(*vm)
+		if n := done.Add(1); c.Progress != nil {
+			c.Progress(int(n), len(vms))
+		}
+		return result
+	})
 }
 
 // ReadVMs reads a VM list from a file in the form that the platform publishes.
--- a/cli/query/audit.go
+++ b/cli/query/audit.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	client := f.fleet.client()
+	client := f.fleet.client(c)
 	if plan.VMs, err = f.fleet.list(client); err != nil {
 		return err
 	}
--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -32,8 +32,11 @@
 	return f
 }
 
-func (f *fleetFlags) client() *fleet.Client {
-	return fleet.NewClient(f.config)
+// client returns a client that reports progress on the error stream.
+func (f *fleetFlags) client(c *console.Console) *fleet.Client {
+	client := fleet.NewClient(f.config)
+	client.Progress = newProgress(c).report
+	return client
 }
 
 // list returns the VMs to ask.
@@ -106,7 +109,7 @@
 const stateUnreachable = "unreachable"
 
 func status(c *console.Console, flags *fleetFlags, format string) error {
-	client := flags.client()
+	client := flags.client(c)
 	vms, err := flags.list(client)
 	if err != nil {
 		return err
@@ -125,7 +128,7 @@
 		row.Reason = "the list of VMs gives no admin address"
 		return row
 	}
-	s, err := client.Status(vm.Admin)
+	s, err := client.BriefStatus(vm.Admin)
 	if err != nil {
 		row.Reason = err.Error()
 		return row
@@ -135,7 +138,9 @@
 		return row
 	}
 	row.Held = s.Held
-	row.HeldFor = s.Now.Sub(s.HeldSince).Seconds()
+	if !s.Held.IsZero() {
+		row.HeldFor = s.Now.Sub(s.HeldSince).Seconds()
+	}
 	row.Reader = s.Reader
 	row.State = string(s.Drain)
 	if s.Server == statusapi.ServerDown || s.Server == statusapi.ServerShedding {
@@ -205,6 +210,10 @@
 		c.Printf("conflict: releases %s and %s have one sequence number; publish release %d to end it\n",
 			conflict.Kept, conflict.Dropped, conflict.Kept.Sequence+1)
 	}
+	if r.Newest.IsZero() {
+		c.Printf("none of %d VMs holds a release\n", len(r.VMs))
+		return nil
+	}
 	c.Printf("%d of %d VMs hold %s\n", r.InForce, len(r.VMs), r.Newest)
 	return nil
 }
--- a/core/statusapi/statusapi.go
+++ b/core/statusapi/statusapi.go
@@ -17,6 +17,11 @@
 const (
 	// StatusPath answers with a Status.
 	StatusPath = "/v1/status"
+	// BriefStatusPath answers with a Status without VMs and Peers, whose size grows
+	// with the fleet.
+	BriefStatusPath = StatusPath + "?" + BriefParameter + "=true"
+	// BriefParameter is the query parameter of BriefStatusPath.
+	BriefParameter = "brief"
 	// HealthPath answers with status 200 while the process works.
 	HealthPath = "/healthz"
 	// ReadyPath answers with status 200 while the node serves callers, else 503.
@@ -45,11 +50,12 @@
 	// Refused lists the releases that the node did not put in force, newest first.
 	Refused []RefusedRelease `json:"refused,omitempty"`
 	// Conflicts lists pairs of different releases with one sequence number.
-	Conflicts []Conflict   `json:"conflicts,omitempty"`
-	Peers     []PeerStatus `json:"peers,omitempty"`
-	Drain     DrainState   `json:"drain"`
-	Server    ServerState  `json:"server"`
-	// VMs is the VM list that the node holds.
+	Conflicts []Conflict `json:"conflicts,omitempty"`
+	// Peers is left out of a brief answer.
+	Peers  []PeerStatus `json:"peers,omitempty"`
+	Drain  DrainState   `json:"drain"`
+	Server ServerState  `json:"server"`
+	// VMs is the VM list that the node holds, left out of a brief answer.
 	VMs []vmlist.VM `json:"vms,omitempty"`
 }
 
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -20,7 +20,7 @@
 // New returns the application; the caller gives it a listener.
 func New(r *query.Reader) *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "auburnladder-node"})
-	app.Get(statusapi.StatusPath, func(c fiber.Ctx) error { return c.JSON(r.Status()) })
+	app.Get(statusapi.StatusPath, func(c fiber.Ctx) error { return status(c, r) })
 	app.Get(statusapi.ConfigPath, func(c fiber.Ctx) error { return config(c, r) })
 	app.Get(statusapi.JournalPath, func(c fiber.Ctx) error { return journal(c, r) })
 	app.Get(statusapi.ExplainPath, func(c fiber.Ctx) error { return explain(c, r) })
@@ -35,6 +35,15 @@
 	return c.Status(status).JSON(problem{Error: err.Error()})
 }
 
+func status(c fiber.Ctx, r *query.Reader) error {
+	s := r.Status()
+	if c.Query(statusapi.BriefParameter) == "true" {
+		s.VMs = nil
+		s.Peers = nil
+	}
+	return c.JSON(s)
+}
+
 func ready(c fiber.Ctx, r *query.Reader) error {
 	if !r.Ready() {
 		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -81,6 +81,8 @@
 func TestStatusAndJournalTellWhatHappened(t *testing.T) {
 	Convey("Given a node that applied one release and refused another", t, func() {
 		f := newFixture()
+		peer := netip.MustParseAddrPort("127.0.0.1:1")
+		f.command.ApplyVMList(&vmlist.List{Revision: 1, VMs: []vmlist.VM{{ID: vm, Service: "orders", Domain: "a", Peer: peer}}})
 		So(f.get(statusapi.ReadyPath, nil), ShouldEqual, fiber.StatusServiceUnavailable)
 		So(f.get(statusapi.ConfigPath, &struct{}{}), ShouldEqual, fiber.StatusServiceUnavailable)
 		snapshot := f.apply()
@@ -91,17 +93,24 @@
 		var s statusapi.Status
 		So(f.get(statusapi.StatusPath, &s), ShouldEqual, fiber.StatusOK)
 		So(s.Held, ShouldResemble, snapshot.Version)
+		So(s.VMs, ShouldHaveLength, 1)
 		So(s.HeldSince, ShouldEqual, f.now)
 		So(s.Refused, ShouldHaveLength, 1)
 		So(s.Refused[0].Version, ShouldResemble, refused)
 		So(s.Refused[0].Field, ShouldEqual, "routes[0].resource")
 
+		var brief statusapi.Status
+		So(f.get(statusapi.BriefStatusPath, &brief), ShouldEqual, fiber.StatusOK)
+		So(brief.VMs, ShouldBeEmpty)
+		So(brief.Held, ShouldResemble, s.Held)
+
 		var j statusapi.Journal
 		So(f.get(statusapi.JournalPath, &j), ShouldEqual, fiber.StatusOK)
-		So(j.Entries, ShouldHaveLength, 2)
-		So(j.Entries[0].Kind, ShouldEqual, statusapi.JournalReleaseApplied)
-		So(j.Entries[1].Kind, ShouldEqual, statusapi.JournalReleaseRefused)
-		So(f.get(statusapi.JournalPath+"?since=2", &j), ShouldEqual, fiber.StatusOK)
+		So(j.Entries, ShouldHaveLength, 3)
+		So(j.Entries[0].Kind, ShouldEqual, statusapi.JournalVMListApplied)
+		So(j.Entries[1].Kind, ShouldEqual, statusapi.JournalReleaseApplied)
+		So(j.Entries[2].Kind, ShouldEqual, statusapi.JournalReleaseRefused)
+		So(f.get(statusapi.JournalPath+"?since=3", &j), ShouldEqual, fiber.StatusOK)
 		So(j.Entries, ShouldBeEmpty)
 		So(f.get(statusapi.JournalPath+"?since=x", nil), ShouldEqual, fiber.StatusBadRequest)
 
