Show refused releases and say nothing about nodes that did not answer

A forged release that all nodes refused left no trace in status, as none of them lagged. audit printed "none" for a VM that it could not reach, as if the VM had said so.

Run: go test ./cli/...

--- a/cli/app/fleet_test.go
+++ b/cli/app/fleet_test.go
@@ -247,7 +247,10 @@
 		f.writeList()
 		lagging := &f.nodes[1].status
 		lagging.Held = old.Version
-		lagging.Refused = []statusapi.RefusedRelease{{Version: f.nodes[0].held.Version, Reason: "chunk is missing"}}
+		lagging.Refused = []statusapi.RefusedRelease{
+			{Version: release.Version{Sequence: 3}, Reason: "no valid approval"},
+			{Version: f.nodes[0].held.Version, Reason: "chunk is missing"},
+		}
 		lagging.Conflicts = []statusapi.Conflict{{Kept: old.Version, Dropped: release.Version{Sequence: 1}}}
 		r := runCLI("status", "--node", f.nodes[0].vm.Admin.String())
 		So(r.code, ShouldEqual, console.ExitOK)
@@ -258,6 +261,7 @@
 		So(lines[2], ShouldContainSubstring, "chunk is missing")
 		So(lines[3], ShouldContainSubstring, "unreachable")
 		So(lines[4], ShouldContainSubstring, "publish release 2 to end it")
-		So(lines[5], ShouldStartWith, "1 of 3 VMs hold 2@")
+		So(lines[5], ShouldContainSubstring, "by 1 VMs: no valid approval")
+		So(lines[6], ShouldStartWith, "1 of 3 VMs hold 2@")
 	})
 }
--- a/cli/query/audit.go
+++ b/cli/query/audit.go
@@ -110,7 +110,11 @@
 		if !f.Compliant {
 			outcome = "NOT COMPLIANT: " + f.Reason
 		}
-		t.row(f.VM, f.Service, f.Domain, f.Held.String(), outcome)
+		held := "-"
+		if !f.Held.IsZero() {
+			held = f.Held.String()
+		}
+		t.row(f.VM, f.Service, f.Domain, held, outcome)
 	}
 	if err := t.flush(); err != nil {
 		return err
--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -16,61 +15,6 @@
 	"auburnladder.example/core/vmlist"
 )
 
-// fleetFlags say which nodes are asked, and how.
-type fleetFlags struct {
-	node   string
-	vms    string
-	config fleet.Config
-}
-
-func addFleetFlags(cmd *kingpin.CmdClause) *fleetFlags {
-	f := &fleetFlags{config: fleet.DefaultConfig()}
-	cmd.Flag("node", "Admin address ip:port of any node, which gives the list of VMs.").StringVar(&f.node)
-	cmd.Flag("vms", "File with the list of VMs as the platform publishes it, in place of --node.").ExistingFileVar(&f.vms)
-	cmd.Flag("timeout", "How long to wait for each node.").Default(f.config.Timeout.String()).DurationVar(&f.config.Timeout)
-	cmd.Flag("parallel", "How many nodes to ask at once.").Default(fmt.Sprint(f.config.Parallel)).IntVar(&f.config.Parallel)
-	return f
-}
-
-// client returns a client that reports progress on the error stream.
-func (f *fleetFlags) client(c *console.Console) *fleet.Client {
-	client := fleet.NewClient(f.config)
-	client.Progress = newProgress(c).report
-	return client
-}
-
-// list returns the VMs to ask.
-func (f *fleetFlags) list(client *fleet.Client) ([]vmlist.VM, error) {
-	switch {
-	case (f.node == "") == (f.vms == ""):
-		return nil, fmt.Errorf("expected either --node or --vms")
-	case f.config.Parallel < 1:
-		return nil, fmt.Errorf("--parallel: found %d, expected 1 or more", f.config.Parallel)
-	case f.vms != "":
-		return fleet.ReadVMs(f.vms)
-	}
-	addr, err := netip.ParseAddrPort(f.node)
-	if err != nil {
-		return nil, fmt.Errorf("--node: found %q, expected ip:port", f.node)
-	}
-	status, err := client.Status(addr)
-	if err != nil {
-		return nil, console.Failed("%w", err)
-	}
-	if len(status.VMs) == 0 {
-		return nil, console.Failed("node %s holds no list of VMs yet", status.VM)
-	}
-	return status.VMs, nil
-}
-
-// source says where the list of VMs comes from.
-func (f *fleetFlags) source() string {
-	if f.vms != "" {
-		return "file " + f.vms
-	}
-	return "node " + f.node
-}
-
 func registerStatus(app *kingpin.Application, c *console.Console) {
 	cmd := app.Command("status", "Show which release is in force on each node, which node lags and why.")
 	flags := addFleetFlags(cmd)
@@ -102,7 +46,16 @@
 	InForce int `json:"in_force"`
 	// Conflicts lists different releases with one sequence number.
 	Conflicts []statusapi.Conflict `json:"conflicts,omitempty"`
-	VMs       []nodeRow            `json:"vms"`
+	// Refused lists releases newer than Newest that nodes refused.
+	Refused []refusal `json:"refused,omitempty"`
+	VMs     []nodeRow `json:"vms"`
+}
+
+// refusal is a release that nodes did not put in force for one reason.
+type refusal struct {
+	Version release.Version `json:"version"`
+	Reason  string          `json:"reason"`
+	VMs     []string        `json:"vms"`
 }
 
 // stateUnreachable is the state of a VM whose node did not answer.
@@ -163,6 +116,7 @@
 			continue
 		}
 		result.addConflicts(row.status.Conflicts)
+		result.addRefused(row)
 		if row.Held == result.Newest {
 			result.InForce++
 			continue
@@ -186,6 +140,23 @@
 	}
 }
 
+// addRefused counts the refusals of one VM that still matter.
+func (r *fleetStatus) addRefused(row *nodeRow) {
+	for _, refused := range row.status.Refused {
+		if !refused.Version.Newer(r.Newest) {
+			continue
+		}
+		i := slices.IndexFunc(r.Refused, func(o refusal) bool {
+			return o.Version == refused.Version && o.Reason == refused.Reason
+		})
+		if i < 0 {
+			i = len(r.Refused)
+			r.Refused = append(r.Refused, refusal{Version: refused.Version, Reason: refused.Reason})
+		}
+		r.Refused[i].VMs = append(r.Refused[i].VMs, row.VM)
+	}
+}
+
 func lagReason(s *statusapi.Status, newest release.Version) string {
 	for _, refused := range s.Refused {
 		if refused.Version == newest {
@@ -210,6 +181,9 @@
 		c.Printf("conflict: releases %s and %s have one sequence number; publish release %d to end it\n",
 			conflict.Kept, conflict.Dropped, conflict.Kept.Sequence+1)
 	}
+	for _, refused := range r.Refused {
+		c.Printf("refused: release %s by %d VMs: %s\n", refused.Version, len(refused.VMs), refused.Reason)
+	}
 	if r.Newest.IsZero() {
 		c.Printf("none of %d VMs holds a release\n", len(r.VMs))
 		return nil
