--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -88,6 +88,21 @@
 		So(applied, ShouldBeFalse)
 		ask, _ := find[FetchManifest](actions)
 		So(ask.Wanted, ShouldResemble, b.version)
+
+		Convey("and does not fall back to the older one while a peer claims the newer, until the bound", func() {
+			m.Step(epoch.Add(time.Millisecond), FetchFailed{Fetch: ask.Fetch, Peer: ask.Peer})
+			at := epoch
+			for ; at.Before(epoch.Add(m.cfg.StartAloneWait)); at = at.Add(m.cfg.TickInterval) {
+				_, applied = find[Apply](m.Step(at, Tick{}))
+				So(applied, ShouldBeFalse)
+			}
+			var apply Apply
+			for end := at.Add(2 * time.Second); !applied && at.Before(end); at = at.Add(m.cfg.TickInterval) {
+				apply, applied = find[Apply](m.Step(at, Tick{}))
+			}
+			So(applied, ShouldBeTrue)
+			So(apply.Snapshot.Version, ShouldResemble, old.version)
+		})
 	})
 }
 
--- a/core/distribution/source.go
+++ b/core/distribution/source.go
@@ -325,10 +325,12 @@
 		}
 	}
 	if e.Unchanged {
+		// A restored platform may have a lower revision, of which no watch tells.
+		d.readAt = now
 		return
 	}
-	if watch && e.Revision == d.after {
-		// The platform answered at once without a change: do not ask in a tight loop.
+	if watch && e.Revision <= d.after {
+		// The platform answered at once with nothing newer: do not ask in a tight loop.
 		d.retryAt = now.Add(m.jitter(m.cfg.SourceBackoffMin))
 	}
 	d.after = e.Revision
--- /dev/null
+++ b/core/mesh/mesh_test.go
@@ -0,0 +1,114 @@
+package mesh
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"auburnladder.example/core/release"
+)
+
+func testService(name, target string) *Service {
+	return &Service{
+		Name: name, Hosts: []string{name + ".example"}, Callers: []string{PublicCaller}, Priority: PriorityNormal,
+		Server:    Server{Slots: 2, Connections: 4},
+		Stop:      Stop{Method: StopNone, Grace: 100},
+		Resources: []Resource{{Name: "main", MaxRequestBytes: 10, MaxResponseBytes: 10}},
+		Routes: []Route{
+			{Name: "all", Methods: []string{"GET"}, Prefix: "/", Service: target, Resource: "main", Idempotent: true, Retry: Retry{Attempts: 2}, Deadline: 100},
+			{Name: "deep", Methods: []string{"GET"}, Prefix: "/deep/er", Service: target, Resource: "main", Retry: Retry{Attempts: 1}, Deadline: 100},
+		},
+	}
+}
+
+// pack encodes services without their own validation, as an operator's mistake would.
+func pack(services ...*Service) (*release.Verified, map[release.Digest][]byte) {
+	chunks := make(map[release.Digest][]byte)
+	m := &release.Manifest{Format: release.FormatVersion, Sequence: 1}
+	for _, s := range services {
+		data, err := s.Encode()
+		So(err, ShouldBeNil)
+		d := release.DigestOf(data)
+		chunks[d] = data
+		m.Chunks = append(m.Chunks, release.ChunkRef{Name: s.Name, Digest: d, Size: len(data)})
+	}
+	return &release.Verified{Version: release.Version{Sequence: 1}, Manifest: m}, chunks
+}
+
+func source(chunks map[release.Digest][]byte) ChunkSource {
+	return func(d release.Digest) ([]byte, bool) {
+		data, found := chunks[d]
+		return data, found
+	}
+}
+
+func TestBuild(t *testing.T) {
+	Convey("A release is built whole", t, func() {
+		v, chunks := pack(testService("a", "b"), testService("b", "b"))
+		s, err := Build(v, source(chunks))
+		So(err, ShouldBeNil)
+		So(s.Services(), ShouldHaveLength, 2)
+		So(s.MatchRoute("a.example", "GET", "/deep/er/x").Route.Name, ShouldEqual, "deep")
+		So(s.MatchRoute("a.example", "GET", "/deep/error").Route.Name, ShouldEqual, "all")
+		So(s.MatchRoute("a.example", "POST", "/"), ShouldBeNil)
+		So(s.MatchRoute("c.example", "GET", "/"), ShouldBeNil)
+
+		Convey("or not at all when a chunk is missing or altered", func() {
+			d := v.Manifest.Chunks[1].Digest
+			chunks[d] = append([]byte(" "), chunks[d][1:]...)
+			_, err := Build(v, source(chunks))
+			So(err, ShouldNotBeNil)
+			delete(chunks, d)
+			_, err = Build(v, source(chunks))
+			var missing *MissingChunkError
+			So(errors.As(err, &missing), ShouldBeTrue)
+			So(missing.Ref.Name, ShouldEqual, "b")
+		})
+	})
+	cases := []struct {
+		name, field string
+		change      func(a, b *Service)
+	}{
+		{"a route to a missing service", "routes[0].service", func(a, _ *Service) { a.Routes[0].Service = "gone" }},
+		{"a route to a missing resource", "routes[1].resource", func(a, _ *Service) { a.Routes[1].Resource = "gone" }},
+		{"a caller that is not in the release", "callers[0]", func(a, _ *Service) { a.Callers[0] = "gone" }},
+		{"a host of two services", "hosts", func(a, b *Service) { b.Hosts = a.Hosts }},
+	}
+	for _, c := range cases {
+		Convey("A release is refused with its field for "+c.name, t, func() {
+			a, b := testService("a", "b"), testService("b", "b")
+			c.change(a, b)
+			v, chunks := pack(a, b)
+			s, err := Build(v, source(chunks))
+			So(s, ShouldBeNil)
+			var field *FieldError
+			So(errors.As(err, &field), ShouldBeTrue)
+			So(field.Field, ShouldEqual, c.field)
+		})
+	}
+}
+
+func TestRetryOfNonIdempotentRouteIsRefused(t *testing.T) {
+	Convey("A route that is not idempotent allows no retry by status", t, func() {
+		s := testService("a", "a")
+		s.Routes[1].Retry.Statuses = []int{503}
+		So(s.Validate(), ShouldNotBeNil)
+	})
+}
+
+func FuzzParseService(f *testing.F) {
+	data, err := testService("a", "a").Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte("{}"))
+	f.Add(append(data, data...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := ParseService(data)
+		if err == nil && s.Validate() != nil {
+			t.Fatal("accepted a service that is not valid")
+		}
+	})
+}
