Spread releases between nodes instead of watching from each

The driver connects the distribution machine to the platform client and to the sessions between nodes; it replaces the watch that every node held. Sessions are used in both directions, whichever end opened them, and their observer is called in order, so that a late end of one session does not hide another.

--- a/core/distribution/action.go
+++ b/core/distribution/action.go
@@ -20,7 +20,7 @@
 }
 
 // Exchange asks a peer what it holds, over a session that may have to be opened. It is
-// answered by PeerVersions or PeerDown.
+// answered by PeerVersions or PeerUnreachable.
 type Exchange struct{ Peer string }
 
 // FetchManifest asks a peer for the manifest of Wanted, as a delta to Base if Base is
--- a/core/distribution/event.go
+++ b/core/distribution/event.go
@@ -24,9 +24,13 @@
 // PeerUp reports that a session to a peer is established, by either end.
 type PeerUp struct{ Peer string }
 
-// PeerDown reports that the last session to a peer ended or that none could be opened.
+// PeerDown reports that the last session to a peer ended.
 type PeerDown struct{ Peer string }
 
+// PeerUnreachable reports that no session to a peer could be opened, or that it gave no
+// answer over an open one.
+type PeerUnreachable struct{ Peer string }
+
 // PeerVersions reports what a peer holds, as told by the peer itself.
 type PeerVersions struct {
 	Peer     string
@@ -87,6 +91,7 @@
 func (ViewChanged) event()      {}
 func (PeerUp) event()           {}
 func (PeerDown) event()         {}
+func (PeerUnreachable) event()  {}
 func (PeerVersions) event()     {}
 func (ManifestReceived) event() {}
 func (ChunksReceived) event()   {}
--- a/core/distribution/inquiry.go
+++ b/core/distribution/inquiry.go
@@ -16,7 +16,8 @@
 // a pause.
 type inquiry struct {
 	began time.Time
-	// open holds the peers that have not answered yet.
+	// open holds the peers that have not answered yet: true if they may still answer,
+	// false if they could not be reached so far.
 	open map[string]bool
 	// asked and replies count the peers that were asked and that answered.
 	asked   map[string]bool
@@ -41,20 +42,28 @@
 }
 
 func (q *inquiry) answered(id string) {
-	if q.open[id] {
+	if _, waiting := q.open[id]; waiting {
 		delete(q.open, id)
 		q.replies++
 	}
 }
 
-// failed closes the question to a peer that can't be reached.
+// failed notes that a peer can't be reached for now.
 func (q *inquiry) failed(id string) {
-	delete(q.open, id)
+	if q.open[id] {
+		q.open[id] = false
+	}
 }
 
-// complete reports whether all asked peers answered or can't be reached.
+// complete reports whether all asked peers answered or can't be reached, and at least
+// one answered.
 func (q *inquiry) complete() bool {
-	return len(q.asked) > 0 && len(q.open) == 0 && q.replies > 0
+	for _, mayAnswer := range q.open {
+		if mayAnswer {
+			return false
+		}
+	}
+	return q.replies > 0
 }
 
 // askPeers asks the neighbours and more VMs, from as many failure domains as possible,
--- a/core/distribution/machine.go
+++ b/core/distribution/machine.go
@@ -144,6 +144,8 @@
 		m.peerUp(e.Peer)
 	case PeerDown:
 		m.peerDown(e.Peer)
+	case PeerUnreachable:
+		m.peerUnreachable(e.Peer)
 	case PeerVersions:
 		m.peerVersions(e)
 	case ManifestReceived:
--- a/core/distribution/network_test.go
+++ b/core/distribution/network_test.go
@@ -259,7 +259,7 @@
 func (n *network) ask(x *node, peer string, answer func(y *node) Event) {
 	y := n.nodes[peer]
 	if !n.reachable(x, y) {
-		n.deliver(x, x.life, PeerDown{Peer: peer})
+		n.deliver(x, x.life, PeerUnreachable{Peer: peer})
 		return
 	}
 	life, yLife := x.life, y.life
--- a/core/distribution/peers.go
+++ b/core/distribution/peers.go
@@ -53,6 +53,13 @@
 // peerDown forgets what the peer held: it may come back with nothing.
 func (m *Machine) peerDown(id string) {
 	delete(m.peers, id)
+	m.peerUnreachable(id)
+}
+
+func (m *Machine) peerUnreachable(id string) {
+	if p := m.peers[id]; p != nil {
+		p.versions = Versions{}
+	}
 	m.inquiry.failed(id)
 	if m.fetch != nil && m.fetch.peer == id {
 		m.endFetch(m.fetch.id, false)
--- /dev/null
+++ b/node/distribution/message.go
@@ -0,0 +1,118 @@
+package distribution
+
+import (
+	"auburnladder.example/core/distribution"
+	"auburnladder.example/core/release"
+	"auburnladder.example/wire/peerpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// prefixBytes is the length prefix of a message on a stream.
+const prefixBytes = 4
+
+// messageBytes returns the size of a message on a stream.
+func messageBytes(m proto.Message) int64 {
+	return int64(proto.Size(m) + prefixBytes)
+}
+
+func versionMessage(v release.Version) *peerpb.Version {
+	if v.IsZero() {
+		return nil
+	}
+	return &peerpb.Version{Sequence: v.Sequence, Digest: v.Digest[:]}
+}
+
+// versionOf returns the zero version for a message that is missing or not valid.
+func versionOf(m *peerpb.Version) release.Version {
+	digest, err := release.DigestFromBytes(m.GetDigest())
+	if err != nil {
+		return release.Version{}
+	}
+	return release.Version{Sequence: m.GetSequence(), Digest: digest}
+}
+
+func versionsOf(held *peerpb.Version, vmListRevision uint64) distribution.Versions {
+	return distribution.Versions{Held: versionOf(held), VMList: vmListRevision}
+}
+
+func announcement(v distribution.Versions) *peerpb.Announce {
+	return &peerpb.Announce{Held: versionMessage(v.Held), VmListRevision: v.VMList}
+}
+
+func chunkRequest(digests []release.Digest) *peerpb.Request {
+	raw := make([][]byte, len(digests))
+	for i := range digests {
+		raw[i] = digests[i][:]
+	}
+	return &peerpb.Request{Kind: &peerpb.Request_Chunks{Chunks: &peerpb.ChunkRequest{Digests: raw}}}
+}
+
+func manifestReply(a distribution.ManifestAnswer) (*peerpb.ManifestReply, error) {
+	switch {
+	case a.Delta != nil:
+		return &peerpb.ManifestReply{Found: true, Delta: deltaMessage(a.Delta)}, nil
+	case a.Approved != nil:
+		data, err := a.Approved.Encode()
+		return &peerpb.ManifestReply{Found: true, Approved: data}, err
+	default:
+		return &peerpb.ManifestReply{}, nil
+	}
+}
+
+// manifestReceived converts an answer. One that is not valid counts as no manifest.
+func manifestReceived(a distribution.FetchManifest, m *peerpb.ManifestReply) distribution.ManifestReceived {
+	ev := distribution.ManifestReceived{Fetch: a.Fetch, Peer: a.Peer}
+	switch {
+	case m.GetDelta() != nil:
+		if delta, err := deltaOf(m.GetDelta()); err == nil {
+			ev.Delta = delta
+		}
+	case len(m.GetApproved()) > 0:
+		if approved, err := release.ParseApproved(m.GetApproved()); err == nil {
+			ev.Approved = approved
+		}
+	}
+	return ev
+}
+
+func deltaMessage(d *release.Delta) *peerpb.ManifestDelta {
+	m := &peerpb.ManifestDelta{
+		Base:       versionMessage(d.Base),
+		Version:    versionMessage(d.Version),
+		Parent:     d.Parent[:],
+		Removed:    d.Removed,
+		Deployment: d.Deployment,
+	}
+	for i := range d.Changed {
+		ref := &d.Changed[i]
+		m.Changed = append(m.Changed, &peerpb.ChunkEntry{Name: ref.Name, Digest: ref.Digest[:], Size: uint32(ref.Size)})
+	}
+	for _, a := range d.Approvals {
+		m.Approvals = append(m.Approvals, &peerpb.Approval{KeyId: a.KeyID, Signature: a.Signature})
+	}
+	return m
+}
+
+func deltaOf(m *peerpb.ManifestDelta) (*release.Delta, error) {
+	d := &release.Delta{
+		Base:       versionOf(m.GetBase()),
+		Version:    versionOf(m.GetVersion()),
+		Removed:    m.GetRemoved(),
+		Deployment: m.GetDeployment(),
+	}
+	var err error
+	if d.Parent, err = release.DigestFromBytes(m.GetParent()); err != nil {
+		return nil, err
+	}
+	for _, c := range m.GetChanged() {
+		digest, err := release.DigestFromBytes(c.GetDigest())
+		if err != nil {
+			return nil, err
+		}
+		d.Changed = append(d.Changed, release.ChunkRef{Name: c.GetName(), Digest: digest, Size: int(c.GetSize())})
+	}
+	for _, a := range m.GetApprovals() {
+		d.Approvals = append(d.Approvals, release.Approval{KeyID: a.GetKeyId(), Signature: a.GetSignature()})
+	}
+	return d, d.Validate()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -4,13 +4,16 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/netip"
 	"time"
 
+	coredist "auburnladder.example/core/distribution"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
+	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/admin"
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/distribution"
@@ -61,11 +64,31 @@
 	st := state.New(state.Identity{VM: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region})
 	cmd := &command.Commander{State: st, Log: log, Now: time.Now}
 	n := &Node{cfg: cfg, log: log, state: st}
-	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
+	n.driver, err = distribution.New(distributionConfig(cfg, trust), platform.NewClient(platformConfig(cfg)), cmd, log)
+	if err != nil {
+		return nil, err
+	}
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	if expvar.Get("distribution") == nil {
+		expvar.Publish("distribution", n.driver.Metrics())
+	}
 	return n, nil
 }
 
+// distributionConfig returns the preset with the platform's limits from the settings.
+func distributionConfig(cfg *settings.Settings, trust *release.Trust) distribution.Config {
+	machine := coredist.Convergence()
+	if cfg.Preset == settings.PresetBytes {
+		machine = coredist.Bytes()
+	}
+	machine.SourceTimeout = cfg.Platform.Timeout.Std()
+	machine.WatchWait = cfg.Platform.Wait.Std()
+	self := vmlist.VM{
+		ID: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region, Peer: cfg.Listen.Peer,
+	}
+	return distribution.Config{Machine: machine, Self: self, Trust: trust}
+}
+
 func platformConfig(cfg *settings.Settings) platform.Config {
 	urls := make([]string, len(cfg.Platform.Addresses))
 	for i, a := range cfg.Platform.Addresses {
@@ -95,7 +118,7 @@
 	}
 	err := n.listen(serve)
 	if err == nil {
-		tasks.Go(func() { n.driver.Run(ctx) })
+		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -173,7 +196,10 @@
 }
 
 // ServeStream implements peers.Handler.
-func (n *Node) ServeStream(ctx context.Context, _ peers.Peer, req *peerpb.Request, st *session.Stream) {
+func (n *Node) ServeStream(ctx context.Context, from peers.Peer, req *peerpb.Request, st *session.Stream) {
+	if n.driver.ServeStream(from.VM, req, st) {
+		return
+	}
 	if call := req.GetCall(); call != nil {
 		n.egress.ServeCall(ctx, call, st)
 	}
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,9 +49,17 @@
 	log     zerolog.Logger
 	dials   singleflight.Group
 
+	// Dial opens connections to other nodes; New sets it to TCP.
+	Dial Dialer
+
 	mu       sync.Mutex
 	outgoing map[string]*session.Session
 	incoming map[*session.Session]struct{}
+	// open holds all sessions by the VM at the other end, the newest last.
+	open map[string][]*session.Session
+	// notify orders calls of the observer; it is taken before mu.
+	notify   sync.Mutex
+	observer Observer
 	tasks    conc.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -66,14 +75,17 @@
 		log:      log,
 		outgoing: make(map[string]*session.Session),
 		incoming: make(map[*session.Session]struct{}),
+		open:     make(map[string][]*session.Session),
+		Dial:     dialTCP,
 		ctx:      ctx,
 		cancel:   cancel,
 	}
 }
 
-// Get returns the session to the VM, opening one if there is none.
+// Get returns a session to the VM, whichever end opened it. It opens one if there is
+// none.
 func (s *Set) Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error) {
-	if ses := s.open(vm); ses != nil {
+	if ses := s.find(vm); ses != nil {
 		return ses, nil
 	}
 	result := s.dials.DoChan(vm, func() (any, error) { return s.dial(vm, addr) })
@@ -88,23 +100,33 @@
 	}
 }
 
-func (s *Set) open(vm string) *session.Session {
+func (s *Set) find(vm string) *session.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ses := s.outgoing[vm]; ses != nil && !ses.IsClosed() {
 		return ses
 	}
+	for _, ses := range slices.Backward(s.open[vm]) {
+		if !ses.IsClosed() {
+			return ses
+		}
+	}
 	return nil
 }
 
 func (s *Set) dial(vm string, addr netip.AddrPort) (*session.Session, error) {
-	if ses := s.open(vm); ses != nil {
+	if ses := s.find(vm); ses != nil {
 		return ses, nil
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, dialTimeout)
 	defer cancel()
-	ses, err := session.Dial(ctx, addr.String(), s.cfg)
+	conn, err := s.Dial(ctx, addr)
 	if err != nil {
+		return nil, fmt.Errorf("dial peer %s: %w", vm, err)
+	}
+	ses, err := session.Client(conn, s.cfg)
+	if err != nil {
+		_ = conn.Close()
 		return nil, err
 	}
 	peer, err := s.greet(ctx, ses)
@@ -198,6 +220,8 @@
 func (s *Set) serve(ses *session.Session, from Peer) {
 	stop := context.AfterFunc(s.ctx, ses.Close)
 	defer stop()
+	s.opened(from.VM, ses)
+	defer s.closed(from.VM, ses)
 	var streams conc.WaitGroup
 	defer streams.Wait()
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -62,6 +62,11 @@
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
 }
 
+// Close closes idle connections. Calls that are open end with their contexts.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
 // Calls returns the number of calls made so far, watches included.
 func (c *Client) Calls() uint64 {
 	return c.calls.Load()
