Merge distribution: releases spread between nodes

Cause: every node watched the platform, so its reads grew with the fleet. Ruled out: a second dialer beside peers.Transport; the transport serves both.

--- a/node/command/command.go
+++ b/node/command/command.go
@@ -83,6 +83,21 @@
 	c.record(entry)
 }
 
+// RecordConflict records that two releases carry one sequence number.
+func (c *Commander) RecordConflict(kept, dropped release.Version) {
+	c.record(statusapi.JournalEntry{
+		Kind:    statusapi.JournalReleaseConflict,
+		Cause:   "two releases with one sequence number; the one with the higher digest is kept",
+		Release: kept,
+		Other:   dropped,
+	})
+}
+
+// RecordEvent records something about releases or the process that changed nothing.
+func (c *Commander) RecordEvent(kind statusapi.JournalKind, v release.Version, cause string) {
+	c.record(statusapi.JournalEntry{Kind: kind, Release: v, Cause: cause})
+}
+
 // ApplyVMList replaces the VM list by one of a higher revision.
 func (c *Commander) ApplyVMList(list *vmlist.List) bool {
 	changed := c.State.ReplaceVMs(list)
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +66,11 @@
 	mu       sync.Mutex
 	outgoing map[string]*outgoing
 	incoming map[*session.Session]struct{}
+	// open holds all sessions by the VM at the other end, the newest last.
+	open map[string][]*session.Session
+	// notify orders calls of the observer; it is taken before mu.
+	notify   sync.Mutex
+	observer Observer
 	tasks    conc.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -80,6 +86,7 @@
 		log:      log,
 		outgoing: make(map[string]*outgoing),
 		incoming: make(map[*session.Session]struct{}),
+		open:     make(map[string][]*session.Session),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
@@ -87,9 +94,10 @@
 	return s
 }
 
-// Get returns the session to the VM, opening one if there is none.
+// Get returns a session to the VM, whichever end opened it. It opens one if there is
+// none.
 func (s *Set) Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error) {
-	if ses := s.open(vm); ses != nil {
+	if ses := s.find(vm); ses != nil {
 		return ses, nil
 	}
 	result := s.dials.DoChan(vm, func() (any, error) { return s.dial(vm, addr) })
@@ -104,25 +112,30 @@
 	}
 }
 
-func (s *Set) open(vm string) *session.Session {
+func (s *Set) find(vm string) *session.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if out := s.outgoing[vm]; out != nil && !out.session.IsClosed() {
 		out.lastUse.Store(time.Now().UnixNano())
 		return out.session
 	}
+	for _, ses := range slices.Backward(s.open[vm]) {
+		if !ses.IsClosed() {
+			return ses
+		}
+	}
 	return nil
 }
 
 func (s *Set) dial(vm string, addr netip.AddrPort) (*session.Session, error) {
-	if ses := s.open(vm); ses != nil {
+	if ses := s.find(vm); ses != nil {
 		return ses, nil
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, dialTimeout)
 	defer cancel()
 	conn, err := s.cfg.Transport.Dial(ctx, vm, addr)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("dial peer %s: %w", vm, err)
 	}
 	ses, err := session.Client(conn, s.cfg.Session)
 	if err != nil {
@@ -248,6 +261,8 @@
 func (s *Set) serve(ses *session.Session, from Peer) {
 	stop := context.AfterFunc(s.ctx, ses.Close)
 	defer stop()
+	s.opened(from.VM, ses)
+	defer s.closed(from.VM, ses)
 	var streams conc.WaitGroup
 	defer streams.Wait()
 	ctx, cancel := context.WithCancel(s.ctx)
