Carry calls with retries by verdict, streamed answers and silence detection

Cause: the thin ingress made one attempt at a random server, and buffered answers. Change: attempts by core/routing and core/retry; each reply's id is checked; parts of an answer are passed on as they come, and an answer that breaks off closes the caller's connection; a caller that leaves ends the attempt; an attempt that waits 1 s probes its session and retires it when the probe fails; internal and connection headers end at the first node; unreadable HTTP gets a 4xx with a verdict. Ruled out: treating a failed send as not run, since part of it may have left; sending to the same server again; http client disconnect events (fasthttp gives none), so the socket is looked at with MSG_PEEK after 50 ms.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -41,6 +41,8 @@
 	Verdict verdict.Verdict
 	// Status is the server's HTTP status if the request ran.
 	Status int
+	// Final says that no other attempt could help.
+	Final bool
 }
 
 // Reason says why a call isn't tried again.
@@ -137,6 +139,8 @@
 // permitted applies the rules that depend on the outcome alone.
 func (c *Call) permitted(o Outcome) Reason {
 	switch {
+	case o.Final:
+		return Final
 	case o.Verdict == verdict.Ran && !slices.Contains(c.route.Retry.Statuses, o.Status):
 		return Final
 	case c.verdict != verdict.NotRun && !c.route.Idempotent:
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"sync/atomic"
 	"time"
 )
@@ -13,8 +14,8 @@
 	Service string
 	Domain  string
 	Region  string
-	// Peer is the address of the server's node: "ip:port".
-	Peer string
+	// Peer is the address of the server's node.
+	Peer netip.AddrPort
 	// Leaving excludes the server from new work.
 	Leaving bool
 }
--- a/node/node.go
+++ b/node/node.go
@@ -25,20 +25,10 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 )
 
-const (
-	// protocolVersion is the version of the messages between nodes.
-	protocolVersion = 1
-	// maxHeaderBytes bounds the head of a caller's request.
-	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a caller's body before the route's own limit applies.
-	maxBodyBytes = 1 << 20
-	// slowSenderTimeout bounds how long a caller may take to send a request.
-	slowSenderTimeout = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-)
+// protocolVersion is the version of the messages between nodes.
+const protocolVersion = 1
 
 // Node is one running node.
 type Node struct {
@@ -48,6 +38,7 @@
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
+	router   *proxy.Router
 	listens  []net.Listener
 	shutdown []func()
 }
@@ -62,6 +53,7 @@
 	cmd := &command.Commander{State: st, Log: log, Now: time.Now}
 	n := &Node{cfg: cfg, log: log, state: st}
 	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
+	n.router = proxy.NewRouter(st, log)
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	return n, nil
 }
@@ -96,6 +88,7 @@
 	err := n.listen(serve)
 	if err == nil {
 		tasks.Go(func() { n.driver.Run(ctx) })
+		tasks.Go(func() { n.router.Run(ctx) })
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -132,17 +125,8 @@
 }
 
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
-	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Caller: caller, Log: n.log}
-	srv := &fasthttp.Server{
-		Handler:               ingress.Handle,
-		Name:                  "auburnladder",
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           slowSenderTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
+	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Router: n.router, Caller: caller, Log: n.log}
+	srv := ingress.NewServer()
 	n.shutdown = append(n.shutdown, func() { _ = srv.Shutdown() })
 	return serve(name, addr, srv.Serve)
 }
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -22,6 +22,8 @@
 	dialTimeout = 2 * time.Second
 	// handshakeTimeout bounds how long an accepted connection may take to say Hello.
 	handshakeTimeout = 5 * time.Second
+	// retireTimeout bounds how long the streams of a retired session may take.
+	retireTimeout = time.Minute
 )
 
 // Peer is what the other end of a session said about itself.
@@ -88,6 +90,17 @@
 	}
 }
 
+// Retire keeps ses from being returned by Get again. Its streams may still end; it
+// is closed after retireTimeout.
+func (s *Set) Retire(vm string, ses *session.Session) {
+	s.mu.Lock()
+	if s.outgoing[vm] == ses {
+		delete(s.outgoing, vm)
+	}
+	s.mu.Unlock()
+	time.AfterFunc(retireTimeout, ses.Close)
+}
+
 func (s *Set) open(vm string) *session.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/node/proxy/caller.go
@@ -0,0 +1,133 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/retry"
+	"auburnladder.example/core/routing"
+	"auburnladder.example/core/verdict"
+	"auburnladder.example/wire/peerpb"
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	// errNoServer reports that no backend server of the service may be tried.
+	errNoServer = errors.New("no backend server available")
+	// errCrossed reports an answer that belongs to another request.
+	errCrossed = errors.New("answer to another request")
+	// errCallerGone reports that the caller closed its connection.
+	errCallerGone = errors.New("caller closed the connection")
+	// errSilent reports a session that carries no data any more.
+	errSilent = errors.New("session is silent")
+	// errDeadline reports that the time of an attempt is over.
+	errDeadline = errors.New("deadline exceeded")
+)
+
+// refusedError is a refusal by the node of a backend server.
+type refusedError struct {
+	refusal peerpb.Refusal
+	detail  string
+}
+
+// Error names the refusal and what the node said about it.
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("refused (%s): %s", e.refusal, e.detail)
+}
+
+// randomSource draws from the generator of the runtime, which is safe for
+// concurrent use.
+type randomSource struct{}
+
+// Uint64 implements rand.Source.
+func (randomSource) Uint64() uint64 {
+	return rand.Uint64()
+}
+
+// call is one caller's request on its way through its attempts. It belongs to the
+// goroutine of the request.
+type call struct {
+	ingress *Ingress
+	ctx     *fasthttp.RequestCtx
+	match   *mesh.Match
+	message *peerpb.Call
+	retry   retry.Call
+	tried   []*routing.Endpoint
+	// wait is how long all servers asked to be left alone, if none was left to try.
+	wait time.Duration
+}
+
+// run makes attempts until one is final. The returned attempt holds an answer if
+// err is nil; the caller must finish it. The error carries the verdict on the call.
+func (c *call) run() (*attempt, error) {
+	table := c.ingress.Router.Table(c.match.Target.Name)
+	if table == nil {
+		return nil, verdict.Wrap(verdict.NotRun, errNoServer)
+	}
+	var last error
+	for {
+		picked := c.ingress.Router.Picker.Pick(time.Now(), randomSource{}, table, c.tried)
+		if picked.Endpoint == nil {
+			c.wait = picked.Wait
+			return nil, verdict.Wrap(c.retry.Verdict(), errors.Join(errNoServer, last))
+		}
+		a := c.try(picked.Endpoint)
+		decision := c.retry.Next(time.Now(), a.retryOutcome(), randomSource{})
+		if !decision.Retry() {
+			return c.conclude(a, decision)
+		}
+		metrics.retries.Add(1)
+		last = a.err
+		a.finish()
+		c.tried = append(c.tried, picked.Endpoint)
+		time.Sleep(decision.Wait)
+	}
+}
+
+// conclude returns the last attempt's answer or its error.
+func (c *call) conclude(a *attempt, d retry.Decision) (*attempt, error) {
+	if a.err == nil {
+		return a, nil
+	}
+	a.finish()
+	if d.Reason == retry.NoBudget {
+		metrics.budgetSpent.Add(1)
+	}
+	err := fmt.Errorf("attempt %d at %s (no retry: %s): %w", c.retry.Attempts(), a.endpoint.VM, d.Reason, a.err)
+	return nil, &verdict.Error{Verdict: c.retry.Verdict(), Err: err}
+}
+
+// attemptTime returns how long the next attempt may take: half of what is left
+// while a lost answer can be asked for again, else all of it.
+func (c *call) attemptTime(now time.Time) time.Duration {
+	left := c.retry.Remaining(now)
+	route := c.match.Route
+	if route.Idempotent && c.retry.Attempts()+1 < route.Retry.Attempts {
+		return left / 2
+	}
+	return left
+}
+
+// newCallMessage returns the message for the request of ctx. It refers to the
+// memory of ctx and is valid until the handler returns.
+func newCallMessage(ctx *fasthttp.RequestCtx, snap *mesh.Snapshot, m *mesh.Match, caller string) *peerpb.Call {
+	return &peerpb.Call{
+		Id:               rand.Uint64(),
+		Service:          m.Target.Name,
+		Route:            m.Route.Name,
+		Method:           string(ctx.Method()),
+		Uri:              string(ctx.RequestURI()),
+		Host:             string(ctx.Host()),
+		Headers:          callerHeaders(&ctx.Request.Header),
+		Body:             ctx.PostBody(),
+		Caller:           caller,
+		Traceparent:      string(ctx.Request.Header.Peek("Traceparent")),
+		Release:          &peerpb.Version{Sequence: snap.Version.Sequence, Digest: snap.Version.Digest[:]},
+		Idempotent:       m.Route.Idempotent,
+		Priority:         string(m.Owner.Priority),
+		MaxResponseBytes: m.Resource.MaxResponseBytes,
+	}
+}
--- /dev/null
+++ b/node/proxy/caller_attempt.go
@@ -0,0 +1,226 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"auburnladder.example/core/retry"
+	"auburnladder.example/core/routing"
+	"auburnladder.example/core/verdict"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+)
+
+const (
+	// maxSessionStreams bounds the open streams of one session. It stays below the
+	// session's backlog, above which opening a stream would block.
+	maxSessionStreams = 900
+	// serverDownHold is how long a server is left alone that its node can't reach
+	// or that has only started, if the node gives no time.
+	serverDownHold = 500 * time.Millisecond
+)
+
+// attempt is one try of a call at one backend server.
+type attempt struct {
+	call     *call
+	endpoint *routing.Endpoint
+	session  *session.Session
+	stream   *session.Stream
+	watch    *watch
+	reply    peerpb.Reply
+	// err is why there is no answer; it carries the verdict on this attempt.
+	err      error
+	outcome  routing.Outcome
+	deadline time.Time
+	finished bool
+}
+
+// try makes one attempt at e. The attempt must be finished.
+func (c *call) try(e *routing.Endpoint) *attempt {
+	now := time.Now()
+	a := &attempt{call: c, endpoint: e, deadline: now.Add(c.attemptTime(now))}
+	e.Start()
+	metrics.attempts.Add(1)
+	if err := a.open(); err != nil {
+		a.err = verdict.Wrap(verdict.NotRun, err)
+		a.outcome.Kind = routing.Unreachable
+		return a
+	}
+	if err := a.exchange(); err != nil {
+		a.err = verdict.Wrap(verdict.MayHaveRun, a.cause(err))
+		a.outcome.Kind = failureKind(a.err)
+		return a
+	}
+	a.judge()
+	return a
+}
+
+// open gets a stream to the server's node. No byte of the request is sent.
+func (a *attempt) open() error {
+	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	defer cancel()
+	ses, err := a.call.ingress.Sessions.Get(ctx, a.endpoint.VM, a.endpoint.Peer)
+	if err != nil {
+		return fmt.Errorf("session: %w", err)
+	}
+	if ses.Streams() >= maxSessionStreams {
+		return fmt.Errorf("session: %d streams are open", maxSessionStreams)
+	}
+	a.session = ses
+	a.stream, err = ses.OpenStream()
+	return err
+}
+
+// exchange sends the request and reads the head of the answer. After it began, the
+// request may have run.
+func (a *attempt) exchange() error {
+	a.stream.SetDeadline(a.deadline)
+	a.watch = startWatch(a)
+	defer a.watch.stop()
+	msg := a.call.message
+	msg.Attempt = uint32(a.call.retry.Attempts() + 1)
+	msg.RemainingUs = uint64(max(0, time.Until(a.deadline).Microseconds()))
+	req := peerpb.Request{Kind: &peerpb.Request_Call{Call: msg}}
+	if err := a.stream.Send(&req); err != nil {
+		return err
+	}
+	if err := a.stream.Recv(&a.reply); err != nil {
+		return err
+	}
+	if a.reply.GetId() != msg.GetId() {
+		metrics.crossed.Add(1)
+		return errCrossed
+	}
+	return nil
+}
+
+// cause replaces the error of an interrupted stream by the reason of the
+// interruption.
+func (a *attempt) cause(err error) error {
+	switch {
+	case errors.Is(err, errCrossed):
+		return err
+	case a.watch.callerGone.Load():
+		return errCallerGone
+	case a.watch.silent.Load():
+		return errSilent
+	case !time.Now().Before(a.deadline):
+		return errDeadline
+	default:
+		return err
+	}
+}
+
+func failureKind(err error) routing.OutcomeKind {
+	if errors.Is(err, errCallerGone) {
+		return routing.Cancelled
+	}
+	return routing.Failure
+}
+
+// judge derives verdict and outcome from a reply that belongs to the request.
+func (a *attempt) judge() {
+	a.outcome.Load = routingLoad(a.reply.GetLoad())
+	switch v := fromWire(a.reply.GetVerdict()); v {
+	case verdict.Ran:
+		a.outcome.Kind = statusKind(int(a.reply.GetStatus()))
+	case verdict.NotRun:
+		a.judgeRefusal()
+	default:
+		a.err = verdict.Wrap(v, fmt.Errorf("node of the server: %s", a.reply.GetDetail()))
+		a.outcome.Kind = routing.Failure
+	}
+}
+
+func statusKind(status int) routing.OutcomeKind {
+	switch {
+	case status == 503:
+		return routing.Shed
+	case status >= 500:
+		return routing.Failure
+	default:
+		return routing.Success
+	}
+}
+
+// judgeRefusal maps a refusal. A duplicate means that the same request came to the
+// node before, so it may have run.
+func (a *attempt) judgeRefusal() {
+	refusal := a.reply.GetRefusal()
+	v := verdict.NotRun
+	a.outcome.RetryAfter = time.Duration(a.reply.GetRetryAfterMs()) * time.Millisecond
+	switch refusal {
+	case peerpb.Refusal_REFUSAL_OVERLOAD:
+		a.outcome.Kind = routing.Refused
+	case peerpb.Refusal_REFUSAL_LEAVING:
+		a.outcome.Kind = routing.Refused
+		a.outcome.Load = &routing.Load{Leaving: true}
+	case peerpb.Refusal_REFUSAL_SERVER_DOWN, peerpb.Refusal_REFUSAL_STARTING:
+		a.outcome.Kind = routing.Starting
+		a.outcome.RetryAfter = max(a.outcome.RetryAfter, serverDownHold)
+	case peerpb.Refusal_REFUSAL_WRONG_SERVICE:
+		a.outcome.Kind = routing.Unreachable
+	case peerpb.Refusal_REFUSAL_DUPLICATE:
+		v = verdict.MayHaveRun
+	}
+	a.err = verdict.Wrap(v, &refusedError{refusal: refusal, detail: a.reply.GetDetail()})
+}
+
+// retryOutcome returns what the decision on another attempt needs.
+func (a *attempt) retryOutcome() retry.Outcome {
+	if a.err != nil {
+		return retry.Outcome{Verdict: verdict.Of(a.err), Final: a.final()}
+	}
+	return retry.Outcome{Verdict: verdict.Ran, Status: int(a.reply.GetStatus())}
+}
+
+// final reports an error that another server would repeat, or that nobody waits
+// to see mended.
+func (a *attempt) final() bool {
+	if errors.Is(a.err, errCallerGone) {
+		return true
+	}
+	var refused *refusedError
+	if !errors.As(a.err, &refused) {
+		return false
+	}
+	return refused.refusal == peerpb.Refusal_REFUSAL_FORBIDDEN || refused.refusal == peerpb.Refusal_REFUSAL_BAD_REQUEST
+}
+
+// finish gives the stream back and counts the outcome. Ending this side of the
+// stream cancels the request at the server's node if it still runs.
+func (a *attempt) finish() {
+	if a.finished {
+		return
+	}
+	a.finished = true
+	if a.stream != nil {
+		a.stream.Close()
+	}
+	a.endpoint.Done(time.Now(), a.outcome)
+}
+
+func routingLoad(l *peerpb.Load) *routing.Load {
+	if l == nil {
+		return nil
+	}
+	return &routing.Load{
+		InFlight: l.GetInFlight(),
+		Queued:   l.GetQueued(),
+		Limit:    l.GetLimit(),
+		Leaving:  l.GetLeaving(),
+	}
+}
+
+func fromWire(v peerpb.Verdict) verdict.Verdict {
+	switch v {
+	case peerpb.Verdict_VERDICT_NOT_RUN:
+		return verdict.NotRun
+	case peerpb.Verdict_VERDICT_RAN:
+		return verdict.Ran
+	default:
+		return verdict.MayHaveRun
+	}
+}
--- /dev/null
+++ b/node/proxy/caller_router.go
@@ -0,0 +1,111 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/retry"
+	"auburnladder.example/core/routing"
+	"auburnladder.example/core/routing/p2c"
+	"auburnladder.example/node/state"
+	"github.com/rs/zerolog"
+)
+
+// routerInterval is the time between two looks for changed servers and outliers.
+const routerInterval = 100 * time.Millisecond
+
+// Router holds what all listeners of a node share to choose servers and to bound
+// retries. Its methods but Run are safe for concurrent use.
+type Router struct {
+	Picker    routing.Picker
+	Retry     retry.Config
+	state     *state.State
+	directory *routing.Directory
+	log       zerolog.Logger
+	budgets   sync.Map // service name to *retry.Budget
+
+	snapshot *mesh.Snapshot
+	fleet    *state.Fleet
+}
+
+// NewRouter returns a router that follows st and chooses by power of two choices.
+func NewRouter(st *state.State, log zerolog.Logger) *Router {
+	place := routing.Place{Domain: st.Identity.Domain, Region: st.Identity.Region}
+	return &Router{
+		Picker:    p2c.Picker{},
+		Retry:     retry.DefaultConfig(),
+		state:     st,
+		directory: routing.NewDirectory(routing.DefaultConfig(), place),
+		log:       log,
+	}
+}
+
+// Table returns the servers of a service, or nil if none is known.
+func (r *Router) Table(service string) *routing.Table {
+	return r.directory.Table(service)
+}
+
+// Budget returns the retry budget of a service.
+func (r *Router) Budget(service string) *retry.Budget {
+	if b, ok := r.budgets.Load(service); ok {
+		return b.(*retry.Budget)
+	}
+	b, _ := r.budgets.LoadOrStore(service, retry.NewBudget(time.Now(), r.Retry.Budget))
+	return b.(*retry.Budget)
+}
+
+// Run keeps the tables up to date until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	ticker := time.NewTicker(routerInterval)
+	defer ticker.Stop()
+	for {
+		r.Refresh(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Refresh takes over a changed release or VM list and ejects outliers. It is called
+// by one goroutine at a time.
+func (r *Router) Refresh(now time.Time) {
+	snapshot, fleet := r.state.Snapshot(), r.state.Fleet()
+	if snapshot != nil && (snapshot != r.snapshot || fleet != r.fleet) {
+		r.directory.Update(now, snapshot, servers(fleet))
+		r.snapshot, r.fleet = snapshot, fleet
+	}
+	for _, ev := range r.directory.Sweep(now) {
+		r.report(ev)
+	}
+}
+
+func (r *Router) report(ev routing.Event) {
+	if ev.Kind == routing.Spared {
+		metrics.spared.Add(1)
+		return
+	}
+	metrics.ejected.Add(1)
+	r.log.Warn().Str("event", "server-ejected").Str("vm", ev.Endpoint.VM).Str("service", ev.Endpoint.Service).
+		Dur("duration", ev.Duration).Float64("failure_share", ev.FailureShare).
+		Float64("others_share", ev.OthersShare).Msg("server fails more than the others of its service")
+}
+
+func servers(f *state.Fleet) []routing.Server {
+	list := make([]routing.Server, len(f.VMs))
+	for i := range f.VMs {
+		vm := &f.VMs[i]
+		list[i] = routing.Server{
+			VM:      vm.ID,
+			Service: vm.Service,
+			Domain:  vm.Domain,
+			Region:  vm.Region,
+			Peer:    vm.Peer,
+			Leaving: vm.Leaving,
+		}
+	}
+	return list
+}
--- a/node/proxy/headers.go
+++ b/node/proxy/headers.go
@@ -26,16 +26,6 @@
 	return !connectionHeaders[name] && !strings.HasPrefix(name, internalPrefix)
 }
 
-func requestHeaders(h *fasthttp.RequestHeader) []*peerpb.Header {
-	var out []*peerpb.Header
-	for k, v := range h.All() {
-		if name := string(k); forwarded(name) {
-			out = append(out, &peerpb.Header{Name: name, Value: string(v)})
-		}
-	}
-	return out
-}
-
 func responseHeaders(h *fasthttp.ResponseHeader) []*peerpb.Header {
 	var out []*peerpb.Header
 	for k, v := range h.All() {
--- /dev/null
+++ b/node/proxy/ingress_fake_test.go
@@ -0,0 +1,341 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/verdict"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/state"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// handler plays the node of one backend server.
+type handler func(l *link, call *peerpb.Call, st *session.Stream)
+
+// fakePeer is the node of one backend server behind a pipe.
+type fakePeer struct {
+	vm    string
+	serve handler
+	mu    sync.Mutex
+	calls []*peerpb.Call
+	// link is guarded by the fleet's mutex.
+	link *link
+}
+
+// link is one connection between the ingress and a fake peer.
+type link struct {
+	vm     string
+	client *session.Session
+	server *session.Session
+	// mute drops all bytes towards the peer, as a connection does that something
+	// between the two ends has lost track of.
+	mute *muteConn
+}
+
+func (p *fakePeer) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.calls)
+}
+
+func (p *fakePeer) first() *peerpb.Call {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[0]
+}
+
+func (p *fakePeer) run(l *link) {
+	var streams conc.WaitGroup
+	defer streams.Wait()
+	for {
+		st, err := l.server.Accept()
+		if err != nil {
+			return
+		}
+		streams.Go(func() { p.stream(l, st) })
+	}
+}
+
+func (p *fakePeer) stream(l *link, st *session.Stream) {
+	defer st.Close()
+	var req peerpb.Request
+	if st.Recv(&req) != nil {
+		return
+	}
+	if req.GetPing() != nil {
+		_ = st.Send(req.GetPing())
+		return
+	}
+	p.mu.Lock()
+	p.calls = append(p.calls, req.GetCall())
+	p.mu.Unlock()
+	p.serve(l, req.GetCall(), st)
+}
+
+// muteConn swallows writes once it is muted.
+type muteConn struct {
+	net.Conn
+	mu    sync.Mutex
+	muted bool
+}
+
+func (c *muteConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	muted := c.muted
+	c.mu.Unlock()
+	if muted {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *muteConn) silence() {
+	c.mu.Lock()
+	c.muted = true
+	c.mu.Unlock()
+}
+
+// fleet is an ingress with fake peers; it implements Sessions.
+type fleet struct {
+	t       testing.TB
+	ingress *Ingress
+	http    *fasthttp.Server
+	addr    string
+	mu      sync.Mutex
+	peers   map[string]*fakePeer
+	retired int
+	tasks   conc.WaitGroup
+}
+
+func (f *fleet) Get(_ context.Context, vm string, _ netip.AddrPort) (*session.Session, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[vm]
+	if p.link == nil || p.link.client.IsClosed() {
+		f.connect(p)
+	}
+	return p.link.client, nil
+}
+
+func (f *fleet) Retire(vm string, ses *session.Session) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retired++
+	if p := f.peers[vm]; p.link.client == ses {
+		f.connect(p)
+	}
+}
+
+func (f *fleet) connect(p *fakePeer) {
+	near, far := net.Pipe()
+	mute := &muteConn{Conn: near}
+	client, err := session.Client(mute, session.DefaultConfig())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server, err := session.Server(far, session.DefaultConfig())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	l := &link{vm: p.vm, client: client, server: server, mute: mute}
+	p.link = l
+	f.tasks.Go(func() { p.run(l) })
+}
+
+// newFleet starts an ingress for the public caller class before the given peers,
+// each of which plays one server of the service programma.
+func newFleet(t testing.TB, handlers ...handler) *fleet {
+	f := &fleet{t: t, peers: make(map[string]*fakePeer)}
+	list := &vmlist.List{Revision: 1}
+	for i, h := range handlers {
+		id := fmt.Sprintf("vm%d", i)
+		f.peers[id] = &fakePeer{vm: id, serve: h}
+		list.VMs = append(list.VMs, vmlist.VM{ID: id, Service: "programma", Domain: "a", Region: "r1"})
+	}
+	st := state.New(state.Identity{VM: "vm0", Service: "programma", Domain: "a", Region: "r1"})
+	st.Install(testSnapshot(t), time.Now())
+	st.ReplaceVMs(list)
+	router := NewRouter(st, zerolog.Nop())
+	router.Refresh(time.Now())
+	f.ingress = &Ingress{State: st, Sessions: f, Router: router, Caller: mesh.PublicCaller, Log: zerolog.Nop()}
+	f.listen()
+	return f
+}
+
+func (f *fleet) listen() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.addr = l.Addr().String()
+	f.http = f.ingress.NewServer()
+	f.tasks.Go(func() { _ = f.http.Serve(l) })
+}
+
+func (f *fleet) close() {
+	_ = f.http.Shutdown()
+	f.mu.Lock()
+	for _, p := range f.peers {
+		if p.link != nil {
+			p.link.client.Close()
+			p.link.server.Close()
+		}
+	}
+	f.mu.Unlock()
+	f.tasks.Wait()
+}
+
+// total returns the number of calls that reached any peer.
+func (f *fleet) total() int {
+	n := 0
+	for _, p := range f.peers {
+		n += p.count()
+	}
+	return n
+}
+
+// send sends one request on a connection of its own and reads the head of the
+// answer. The connection is closed with the answer's body.
+func (f *fleet) send(method, path, body string, headers ...string) (*http.Response, error) {
+	conn, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		return nil, err
+	}
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: programma.example\r\nContent-Length: %d\r\n", method, path, len(body))
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	if _, err := conn.Write([]byte(head + "\r\n" + body)); err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(30 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	resp.Body = &closingBody{ReadCloser: resp.Body, conn: conn}
+	return resp, nil
+}
+
+type closingBody struct {
+	io.ReadCloser
+	conn net.Conn
+}
+
+func (b *closingBody) Close() error {
+	return b.conn.Close()
+}
+
+// status sends one request and returns the status and the verdict header.
+func (f *fleet) status(method, path, body string, headers ...string) (int, string) {
+	resp, err := f.send(method, path, body, headers...)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, resp.Header.Get(verdict.Header)
+}
+
+func testSnapshot(t testing.TB) *mesh.Snapshot {
+	svc := mesh.Service{
+		Name:      "programma",
+		Hosts:     []string{"programma.example"},
+		Callers:   []string{mesh.PublicCaller},
+		Server:    mesh.Server{Slots: 10, Connections: 110},
+		Stop:      mesh.Stop{Method: mesh.StopNone, Grace: 1000},
+		Resources: []mesh.Resource{{Name: "sessions", MaxRequestBytes: 1000, MaxResponseBytes: 4 << 20}},
+		Routes: []mesh.Route{
+			{
+				Name: "read", Methods: []string{"GET"}, Prefix: "/", Service: "programma", Resource: "sessions",
+				Idempotent: true, Retry: mesh.Retry{Attempts: 3, Statuses: []int{503}}, Deadline: 20_000,
+			},
+			{
+				Name: "book", Methods: []string{"POST"}, Prefix: "/", Service: "programma", Resource: "sessions",
+				Retry: mesh.Retry{Attempts: 3}, Deadline: 20_000,
+			},
+			{
+				Name: "hasty", Methods: []string{"POST"}, Prefix: "/hasty", Service: "programma", Resource: "sessions",
+				Retry: mesh.Retry{Attempts: 3}, Deadline: 100,
+			},
+		},
+	}
+	data, err := svc.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ref := release.ChunkRef{Name: svc.Name, Digest: release.DigestOf(data), Size: len(data)}
+	v := &release.Verified{Version: release.Version{Sequence: 1}, Manifest: &release.Manifest{Chunks: []release.ChunkRef{ref}}}
+	s, err := mesh.Build(v, func(release.Digest) ([]byte, bool) { return data, true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// The ways in which a fake peer treats a call.
+
+func answerOK(l *link, call *peerpb.Call, st *session.Stream) {
+	_ = st.Send(&peerpb.Reply{Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Body: []byte(l.vm)})
+}
+
+func refuseOverload(_ *link, call *peerpb.Call, st *session.Stream) {
+	_ = st.Send(&peerpb.Reply{
+		Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_NOT_RUN,
+		Refusal: peerpb.Refusal_REFUSAL_OVERLOAD, RetryAfterMs: 60_000,
+	})
+}
+
+func refuseDuplicate(_ *link, call *peerpb.Call, st *session.Stream) {
+	_ = st.Send(&peerpb.Reply{
+		Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_NOT_RUN, Refusal: peerpb.Refusal_REFUSAL_DUPLICATE,
+	})
+}
+
+func answerCrossed(_ *link, call *peerpb.Call, st *session.Stream) {
+	_ = st.Send(&peerpb.Reply{Id: call.GetId() + 1, Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Body: []byte("other")})
+}
+
+func dropSession(l *link, _ *peerpb.Call, _ *session.Stream) {
+	l.server.Close()
+}
+
+// hang answers nothing until the ingress gives the stream up.
+func hang(_ *link, _ *peerpb.Call, st *session.Stream) {
+	_ = st.Recv(&peerpb.Body{})
+}
+
+// goSilent loses the connection while the call is at the server.
+func goSilent(l *link, _ *peerpb.Call, st *session.Stream) {
+	l.mute.silence()
+	_ = st.Recv(&peerpb.Body{})
+}
+
+// sendParts sends the head and the parts of a streamed answer, the last one as last.
+func sendParts(call *peerpb.Call, st *session.Stream, last *peerpb.Body, parts ...string) {
+	_ = st.Send(&peerpb.Reply{Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, More: true})
+	for _, p := range parts {
+		_ = st.Send(&peerpb.Body{Data: []byte(p)})
+	}
+	if last != nil {
+		_ = st.Send(last)
+	}
+}
+
+var part = strings.Repeat("0123456789", 10_000)
--- /dev/null
+++ b/node/proxy/ingress_test.go
@@ -0,0 +1,274 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+)
+
+const eventually = 30 * time.Second
+
+// waitFor polls until the condition holds.
+func waitFor(t testing.TB, what string, condition func() bool) {
+	for end := time.Now().Add(eventually); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s: did not happen within %s", what, eventually)
+}
+
+func TestVerdictsAndRetries(t *testing.T) {
+	cases := []struct {
+		name     string
+		method   string
+		path     string
+		handlers []handler
+		status   int
+		verdict  string
+		reached  int // calls that came to any peer, 0 for any number
+	}{
+		{"answer", "POST", "/", []handler{answerOK}, 200, "ran", 1},
+		{"booking refused by both", "POST", "/", []handler{refuseOverload, refuseOverload}, 503, "not-run", 2},
+		{"lost booking isn't sent again", "POST", "/", []handler{dropSession, dropSession}, 502, "may-have-run", 1},
+		{"lost lookup is sent again", "GET", "/", []handler{dropSession, dropSession}, 502, "may-have-run", 2},
+		{"crossed booking", "POST", "/", []handler{answerCrossed, answerCrossed}, 502, "may-have-run", 1},
+		{"duplicate may have run", "POST", "/", []handler{refuseDuplicate, refuseDuplicate}, 502, "may-have-run", 1},
+		{"booking past its deadline", "POST", "/hasty", []handler{hang}, 504, "may-have-run", 1},
+		{"silent booking", "POST", "/hasty", []handler{goSilent}, 504, "may-have-run", 1},
+	}
+	Convey("The caller is told what is known of its request", t, func() {
+		for _, c := range cases {
+			f := newFleet(t, c.handlers...)
+			status, v := f.status(c.method, c.path, "")
+			reached := f.total()
+			f.close()
+			SoMsg(c.name, status, ShouldEqual, c.status)
+			SoMsg(c.name, v, ShouldEqual, c.verdict)
+			SoMsg(c.name, reached, ShouldEqual, c.reached)
+		}
+		goleak.VerifyNone(t, leakOptions...)
+	})
+}
+
+// leakOptions leaves out goroutines of fasthttp: the clock that it keeps for the
+// process, and the cleaner of a worker pool, which sleeps up to 10 s after its
+// server has stopped.
+var leakOptions = []goleak.Option{
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+}
+
+func TestRetriedElsewhere(t *testing.T) {
+	faults := map[string]handler{"refused": refuseOverload, "dropped": dropSession, "crossed": answerCrossed, "silent": goSilent}
+	Convey("A request that may be sent again is answered by the other server", t, func() {
+		for name, fault := range faults {
+			f := newFleet(t, fault, answerOK)
+			method := "GET"
+			if name == "refused" {
+				method = "POST"
+			}
+			// Both servers are equal at first: send until the faulty one was tried.
+			for f.peers["vm0"].count() == 0 {
+				status, v := f.status(method, "/", "")
+				SoMsg(name, status, ShouldEqual, 200)
+				SoMsg(name, v, ShouldEqual, "ran")
+			}
+			f.close()
+		}
+	})
+}
+
+func TestSilentSessionIsReplaced(t *testing.T) {
+	Convey("After a session went silent, new requests to the server use another one", t, func() {
+		var calls atomic.Int32
+		f := newFleet(t, func(l *link, call *peerpb.Call, st *session.Stream) {
+			if calls.Add(1) == 1 {
+				goSilent(l, call, st)
+				return
+			}
+			answerOK(l, call, st)
+		})
+		defer f.close()
+		status, v := f.status("GET", "/", "")
+		So(status, ShouldEqual, 502)
+		So(v, ShouldEqual, "may-have-run")
+		So(f.retired, ShouldEqual, 1)
+		status, _ = f.status("GET", "/", "")
+		So(status, ShouldEqual, 200)
+	})
+}
+
+func TestStreamedAnswers(t *testing.T) {
+	total := uint64(3 * len(part))
+	cases := []struct {
+		name string
+		last *peerpb.Body
+		end  func(l *link)
+		want int // bytes of the whole answer, 0 if it breaks off
+	}{
+		{"whole", &peerpb.Body{Last: true, Total: total}, nil, int(total)},
+		{"wrong total", &peerpb.Body{Last: true, Total: total + 1}, nil, 0},
+		{"no last part", nil, nil, 0},
+		{"aborted", &peerpb.Body{Aborted: true}, nil, 0},
+		{"node killed", nil, func(l *link) { l.server.Close() }, 0},
+		{"above the limit", &peerpb.Body{Data: make([]byte, 1<<20), Last: true, Total: total + 1<<20}, nil, int(total) + 1<<20},
+	}
+	Convey("A streamed answer is whole or visibly broken", t, func() {
+		for _, c := range cases {
+			f := newFleet(t, func(l *link, call *peerpb.Call, st *session.Stream) {
+				sendParts(call, st, c.last, part, part, part)
+				if c.end != nil {
+					c.end(l)
+				}
+			})
+			got, err := readAll(f)
+			f.close()
+			SoMsg(c.name, err == nil, ShouldEqual, c.want > 0)
+			if c.want > 0 {
+				SoMsg(c.name, got, ShouldEqual, c.want)
+			}
+		}
+	})
+	Convey("An answer above the resource's limit is broken off", t, func() {
+		f := newFleet(t, func(_ *link, call *peerpb.Call, st *session.Stream) {
+			big := make([]byte, 1<<20)
+			parts := []string{string(big), string(big), string(big), string(big), string(big)}
+			sendParts(call, st, &peerpb.Body{Last: true, Total: 5 << 20}, parts...)
+		})
+		defer f.close()
+		_, err := readAll(f)
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func readAll(f *fleet) (int, error) {
+	resp, err := f.send("GET", "/", "")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return len(data), err
+}
+
+func TestCallerThatLeavesCancelsTheRequest(t *testing.T) {
+	Convey("When the caller closes its connection, the attempt's stream ends", t, func() {
+		cancelled := make(chan struct{})
+		f := newFleet(t, func(l *link, call *peerpb.Call, st *session.Stream) {
+			hang(l, call, st)
+			close(cancelled)
+		})
+		defer f.close()
+		conn, err := net.Dial("tcp", f.addr)
+		So(err, ShouldBeNil)
+		_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 0\r\n\r\n"))
+		So(err, ShouldBeNil)
+		waitFor(t, "call at the peer", func() bool { return f.total() == 1 })
+		_ = conn.Close()
+		// The route's deadline is 20 s away; the test's own limit is above it, so
+		// the stream must end before that.
+		select {
+		case <-cancelled:
+		case <-time.After(15 * time.Second):
+			t.Fatal("the attempt was not cancelled")
+		}
+	})
+}
+
+func TestRefusedAtTheFirstNode(t *testing.T) {
+	Convey("A request that may not go on is refused as not run and reaches no server", t, func() {
+		f := newFleet(t, answerOK)
+		defer f.close()
+		status, v := f.status("DELETE", "/", "")
+		So(status, ShouldEqual, 404)
+		So(v, ShouldEqual, "not-run")
+		status, v = f.status("POST", "/", strings.Repeat("x", 1001))
+		So(status, ShouldEqual, 413)
+		So(v, ShouldEqual, "not-run")
+		f.ingress.Caller = "inschrijving"
+		status, v = f.status("POST", "/", "", "X-Auburnladder-Caller: public")
+		So(status, ShouldEqual, 403)
+		So(v, ShouldEqual, "not-run")
+		f.ingress.State.SetResyncing(true)
+		status, v = f.status("POST", "/", "")
+		So(status, ShouldEqual, 503)
+		So(v, ShouldEqual, "not-run")
+		So(f.total(), ShouldEqual, 0)
+	})
+}
+
+func TestForgedHeadersAreDropped(t *testing.T) {
+	Convey("Headers that only nodes set, or that concern the connection, end here", t, func() {
+		f := newFleet(t, func(_ *link, call *peerpb.Call, st *session.Stream) {
+			_ = st.Send(&peerpb.Reply{
+				Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200,
+				Headers: []*peerpb.Header{{Name: "X-Auburnladder-Verdict", Value: "not-run"}, {Name: "X-Seat", Value: "7"}},
+			})
+		})
+		defer f.close()
+		resp, err := f.send("GET", "/a?b=c", "", "x-AUBURNLADDER-verdict: not-run", "Connection: close, X-Hop",
+			"X-Hop: 1", "Transfer-Encoding: identity", "Traceparent: 00-1-2-01", "X-Kept: yes")
+		So(err, ShouldBeNil)
+		defer resp.Body.Close()
+		So(resp.Header.Values("X-Auburnladder-Verdict"), ShouldResemble, []string{"ran"})
+		So(resp.Header.Get("X-Seat"), ShouldEqual, "7")
+		call := f.peers["vm0"].first()
+		So(call.GetUri(), ShouldEqual, "/a?b=c")
+		So(call.GetCaller(), ShouldEqual, "public")
+		So(call.GetTraceparent(), ShouldEqual, "00-1-2-01")
+		var names []string
+		for _, h := range call.GetHeaders() {
+			names = append(names, h.GetName())
+		}
+		So(names, ShouldContain, "X-Kept")
+		for _, name := range names {
+			So(name, ShouldNotBeIn, []string{"X-Hop", "Connection", "Transfer-Encoding"})
+			So(strings.ToLower(name), ShouldNotStartWith, "x-auburnladder-")
+		}
+	})
+}
+
+func TestMalformedRequests(t *testing.T) {
+	cases := []struct {
+		name, text string
+	}{
+		{"no HTTP", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"},
+		{"oversized head", "GET / HTTP/1.1\r\nHost: programma.example\r\nX-Big: " + strings.Repeat("x", 64<<10) + "\r\n\r\n"},
+		{"negative length", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: -1\r\n\r\n"},
+		{"huge length", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 99999999999\r\n\r\n"},
+		{"bad chunk", "POST / HTTP/1.1\r\nHost: programma.example\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\n"},
+		{"length and chunked", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: programma.example\r\n\r\n"},
+	}
+	Convey("What isn't HTTP gets a 4xx or a closed connection", t, func() {
+		f := newFleet(t, answerOK)
+		defer f.close()
+		for _, c := range cases {
+			conn, err := net.Dial("tcp", f.addr)
+			So(err, ShouldBeNil)
+			_ = conn.SetDeadline(time.Now().Add(eventually))
+			// The other end may close before it has read everything.
+			_, _ = conn.Write([]byte(c.text))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil && c.name != "length and chunked" {
+				SoMsg(c.name, resp.StatusCode, ShouldBeBetween, 399, 500)
+			}
+			_ = conn.Close()
+		}
+		for _, p := range f.peers {
+			for _, call := range p.calls {
+				So(call.GetUri(), ShouldNotEqual, "/smuggled")
+			}
+		}
+	})
+}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -11,7 +11,10 @@
 
 // Sessions opens sessions to other nodes.
 type Sessions interface {
+	// Get returns the session to the VM, opening one if there is none.
 	Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error)
+	// Retire keeps ses from being returned again; its streams may end.
+	Retire(vm string, ses *session.Session)
 }
 
 // internalPrefix starts the names of headers that only nodes may set, in the
--- a/wire/session/session.go
+++ b/wire/session/session.go
@@ -82,11 +82,10 @@
 
 // Open starts a stream with its first message.
 func (s *Session) Open(req *peerpb.Request) (*Stream, error) {
-	st, err := s.mux.OpenStream()
+	stream, err := s.OpenStream()
 	if err != nil {
-		return nil, fmt.Errorf("open stream: %w", err)
+		return nil, err
 	}
-	stream := &Stream{mux: st}
 	if err := stream.Send(req); err != nil {
 		stream.Close()
 		return nil, err
@@ -94,6 +93,15 @@
 	return stream, nil
 }
 
+// OpenStream starts a stream without a message.
+func (s *Session) OpenStream() (*Stream, error) {
+	st, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	return &Stream{mux: st}, nil
+}
+
 // Accept waits for a stream that the other end opens.
 func (s *Session) Accept() (*Stream, error) {
 	st, err := s.mux.AcceptStream()
