--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/platform"
+	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
@@ -37,6 +38,8 @@
 	log      zerolog.Logger
 	state    *state.State
 	reader   *query.Reader
+	command  *command.Commander
+	prober   *probe.Prober
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
@@ -57,7 +60,7 @@
 		return nil, err
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
-	n := &Node{cfg: cfg, log: log, state: st, reader: reader}
+	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
 	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
 	n.router = proxy.NewRouter(st, log)
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
@@ -103,7 +106,11 @@
 		})
 		return nil
 	}
-	err := n.listen(serve)
+	err := n.startProber()
+	if err == nil {
+		tasks.Go(func() { n.prober.Run(ctx) })
+		err = n.listen(serve)
+	}
 	if err == nil {
 		tasks.Go(func() { n.driver.Run(ctx) })
 		tasks.Go(func() { n.router.Run(ctx) })
