--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -23,6 +23,8 @@
 	dialTimeout = 2 * time.Second
 	// handshakeTimeout bounds how long an accepted connection may take to say Hello.
 	handshakeTimeout = 5 * time.Second
+	// retireTimeout bounds how long the streams of a retired session may take.
+	retireTimeout = time.Minute
 )
 
 // Peer is what the other end of a session said about itself.
@@ -68,6 +70,8 @@
 	incoming map[*session.Session]struct{}
 	// open holds all sessions by the VM at the other end, the newest last.
 	open map[string][]*session.Session
+	// retired holds sessions in open that are given up and get no new streams.
+	retired map[*session.Session]struct{}
 	// notify orders calls of the observer; it is taken before mu.
 	notify   sync.Mutex
 	observer Observer
@@ -87,6 +91,7 @@
 		outgoing: make(map[string]*outgoing),
 		incoming: make(map[*session.Session]struct{}),
 		open:     make(map[string][]*session.Session),
+		retired:  make(map[*session.Session]struct{}),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
@@ -112,6 +117,18 @@
 	}
 }
 
+// Retire keeps ses from being returned by Get again. Its streams may still end; it
+// is closed after retireTimeout.
+func (s *Set) Retire(vm string, ses *session.Session) {
+	s.mu.Lock()
+	if slices.Contains(s.open[vm], ses) {
+		s.retired[ses] = struct{}{}
+	}
+	s.mu.Unlock()
+	s.remove(vm, ses)
+	time.AfterFunc(retireTimeout, ses.Close)
+}
+
 func (s *Set) find(vm string) *session.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +137,7 @@
 		return out.session
 	}
 	for _, ses := range slices.Backward(s.open[vm]) {
-		if !ses.IsClosed() {
+		if _, retired := s.retired[ses]; !retired && !ses.IsClosed() {
 			return ses
 		}
 	}
