--- a/node/node.go
+++ b/node/node.go
@@ -122,6 +122,7 @@
 	if err == nil {
 		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 		tasks.Go(func() { n.router.Run(ctx) })
+		tasks.Go(func() { n.egress.Run(ctx) })
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -195,6 +196,6 @@
 		return
 	}
 	if call := req.GetCall(); call != nil {
-		n.egress.ServeCall(ctx, call, st)
+		n.egress.ServeCall(ctx, from, call, st)
 	}
 }
