Tell apart names that the tests of ingress and egress both declare

Ruled out: splitting the package now, while both halves are being worked on. Before: node/proxy tests did not build. After: node tests pass. Conclusion: a split into ingress and egress packages is due.

--- a/node/proxy/egress_test.go
+++ b/node/proxy/egress_test.go
@@ -103,8 +103,8 @@
 	s.tasks.Wait()
 }
 
-// answerOK reads the body and answers with its size.
-func answerOK(conn net.Conn, _ *bufio.Reader, req *http.Request) bool {
+// serveOK reads the body and answers with its size.
+func serveOK(conn net.Conn, _ *bufio.Reader, req *http.Request) bool {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return false
@@ -291,7 +291,7 @@
 	return a
 }
 
-func eventually(what func() bool) {
+func waitUntil(what func() bool) {
 	for end := time.Now().Add(testWait); !what() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
@@ -321,7 +321,7 @@
 	Convey("A call that must not reach the server is refused as not run", t, func() {
 		for name, c := range cases {
 			Convey(name, func() {
-				r := newEgressRig(newRawServer(answerOK))
+				r := newEgressRig(newRawServer(serveOK))
 				call := r.call()
 				c.change(r, call)
 				a := r.do(call)
@@ -354,7 +354,7 @@
 				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n")
 				return true
 			}
-			return answerOK(conn, r, req)
+			return serveOK(conn, r, req)
 		}
 		return true
 	}
@@ -412,7 +412,7 @@
 			var got http.Header
 			r.server.handle = func(conn net.Conn, b *bufio.Reader, req *http.Request) bool {
 				got = req.Header.Clone()
-				return answerOK(conn, b, req)
+				return serveOK(conn, b, req)
 			}
 			call := r.call()
 			call.Headers = []*peerpb.Header{
@@ -493,7 +493,7 @@
 func TestEgressConnections(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	Convey("A server that refuses connections gives not run", t, func() {
-		s := newRawServer(answerOK)
+		s := newRawServer(serveOK)
 		r := newEgressRig(s)
 		s.listener.Close()
 		a := r.do(r.call())
@@ -502,31 +502,31 @@
 		r.close()
 	})
 	Convey("A connection that the server closed while idle isn't used", t, func() {
-		s := newRawServer(answerOK)
+		s := newRawServer(serveOK)
 		r := newEgressRig(s)
 		So(r.do(r.call()).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
 		s.closeConns()
-		eventually(func() bool { return !r.egress.pool.idle[0].usable() })
+		waitUntil(func() bool { return !r.egress.pool.idle[0].usable() })
 		So(r.do(r.call()).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
 		r.close()
 		So(s.conns.Load(), ShouldEqual, 2)
 	})
 	Convey("Data that no request asked for isn't taken for the next answer", t, func() {
 		s := newRawServer(func(conn net.Conn, b *bufio.Reader, req *http.Request) bool {
-			answerOK(conn, b, req)
+			serveOK(conn, b, req)
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
 			return true
 		})
 		r := newEgressRig(s)
 		So(r.do(r.call()).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
-		eventually(func() bool { return r.egress.pool.idle == nil || !r.egress.pool.idle[0].usable() })
+		waitUntil(func() bool { return r.egress.pool.idle == nil || !r.egress.pool.idle[0].usable() })
 		So(string(r.do(r.call()).body), ShouldEqual, "/seats/1 4")
 		r.close()
 	})
 	Convey("A request is written once, also when its connection breaks without an answer", t, func() {
 		var broken atomic.Bool
 		s := newRawServer(func(conn net.Conn, b *bufio.Reader, req *http.Request) bool {
-			return !broken.Load() && answerOK(conn, b, req)
+			return !broken.Load() && serveOK(conn, b, req)
 		})
 		r := newEgressRig(s)
 		So(r.do(r.call()).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
@@ -544,7 +544,7 @@
 				<-release
 				return false
 			}
-			return answerOK(conn, b, req)
+			return serveOK(conn, b, req)
 		})
 		r := newEgressRig(s)
 		// Both idle connections went silent together.
@@ -558,15 +558,15 @@
 		a := r.do(call)
 		So(a.GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_MAY_HAVE_RUN)
 		So(a.GetDetail(), ShouldContainSubstring, "deadline")
-		eventually(func() bool { return s.conns.Load() == 3 })
-		eventually(func() bool { return r.egress.limiter.Load().InFlight == 0 })
+		waitUntil(func() bool { return s.conns.Load() == 3 })
+		waitUntil(func() bool { return r.egress.limiter.Load().InFlight == 0 })
 		So(r.do(r.call()).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
 		close(release)
 		r.close()
 		So(s.conns.Load(), ShouldEqual, 3)
 	})
 	Convey("A connection idle for too long is closed", t, func() {
-		r := newEgressRig(newRawServer(answerOK))
+		r := newEgressRig(newRawServer(serveOK))
 		So(r.do(r.call()).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
 		r.egress.pool.sweep()
 		So(r.egress.pool.open, ShouldEqual, 1)
@@ -585,7 +585,7 @@
 		var whole atomic.Bool
 		s := newRawServer(func(conn net.Conn, b *bufio.Reader, req *http.Request) bool {
 			if req.URL.Path != "/seats/hang" {
-				return answerOK(conn, b, req)
+				return serveOK(conn, b, req)
 			}
 			started <- struct{}{}
 			_, err := io.ReadAll(req.Body)
@@ -605,7 +605,7 @@
 			st.Close()
 			So(arrives(ended), ShouldBeTrue)
 			So(whole.Load(), ShouldBeTrue)
-			eventually(func() bool { return r.egress.limiter.Load().InFlight == 0 })
+			waitUntil(func() bool { return r.egress.limiter.Load().InFlight == 0 })
 			r.close()
 		})
 		Convey("a body that breaks off never ends at the server", func() {
@@ -624,9 +624,9 @@
 			<-started
 			<-started
 			waiting := r.open(r.call())
-			eventually(func() bool { return r.egress.limiter.Load().Queued == 1 })
+			waitUntil(func() bool { return r.egress.limiter.Load().Queued == 1 })
 			waiting.Close()
-			eventually(func() bool { return r.egress.limiter.Load().Queued == 0 })
+			waitUntil(func() bool { return r.egress.limiter.Load().Queued == 0 })
 			first.Close()
 			second.Close()
 			r.close()
@@ -659,7 +659,7 @@
 			}
 			time.Sleep(time.Millisecond)
 			working.Add(-1)
-			return answerOK(conn, b, req)
+			return serveOK(conn, b, req)
 		})
 		r := newEgressRig(s)
 		var ran, overload atomic.Int64
@@ -692,16 +692,16 @@
 		release := make(chan struct{})
 		s := newRawServer(func(conn net.Conn, b *bufio.Reader, req *http.Request) bool {
 			<-release
-			return answerOK(conn, b, req)
+			return serveOK(conn, b, req)
 		})
 		r := newEgressRig(s)
 		first, second := r.call(), r.call()
 		a, b := r.open(first), r.open(second)
-		eventually(func() bool { return s.requests.Load() == 2 })
+		waitUntil(func() bool { return s.requests.Load() == 2 })
 		late := r.call()
 		late.RemainingUs = uint64(time.Hour.Microseconds())
 		waiting := r.open(late)
-		eventually(func() bool { return r.egress.limiter.Load().Queued == 1 })
+		waitUntil(func() bool { return r.egress.limiter.Load().Queued == 1 })
 		r.offset.Store(int64(time.Minute))
 		close(release)
 		reply := readAnswer(waiting, late)
