Fetch the release in force from a node

Run: go test -race ./cli/... ./node/admin (pass; TestFetchReadsBackTheReleaseInForce compares all files byte for byte).

--- a/cli/app/app_test.go
+++ b/cli/app/app_test.go
@@ -97,6 +97,14 @@
 			after, _ := os.ReadFile(w.key)
 			So(after, ShouldResemble, before)
 		})
+		Convey("while keys rotate, a release approved with both passes with either", func() {
+			key := filepath.Join(w.dir, "next")
+			So(runCLI("keygen", "--id", "next", "--out", key).code, ShouldEqual, console.ExitOK)
+			So(runCLI("verify", "--trust", key+".pub", w.second).code, ShouldEqual, console.ExitFailed)
+			So(runCLI("approve", "--key", key, w.second).code, ShouldEqual, console.ExitOK)
+			So(runCLI("verify", "--trust", key+".pub", w.second).code, ShouldEqual, console.ExitOK)
+			So(runCLI("verify", "--trust", w.trust, w.second).code, ShouldEqual, console.ExitOK)
+		})
 		Convey("compile does not overwrite a release", func() {
 			r := runCLI("compile", "--questionnaires", examples, "--deployment", "zaalwijzer", "--out", w.first)
 			So(r.code, ShouldEqual, console.ExitUsage)
--- a/cli/app/fleet_test.go
+++ b/cli/app/fleet_test.go
@@ -44,6 +44,8 @@
 	switch string(ctx.Path()) {
 	case statusapi.StatusPath:
 		writeJSON(ctx, n.status)
+	case statusapi.ConfigPath:
+		writeJSON(ctx, n.config())
 	case statusapi.EvidencePath:
 		writeJSON(ctx, n.sign(string(ctx.QueryArgs().Peek("nonce"))))
 	default:
@@ -59,6 +61,18 @@
 	ctx.SetBody(data)
 }
 
+func (n *fakeNode) config() statusapi.Config {
+	snapshot, err := n.held.Snapshot()
+	if err != nil {
+		panic(err)
+	}
+	approved, err := n.held.Approved.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return statusapi.Config{VM: n.vm.ID, Held: n.held.Version, Services: snapshot.Services(), Approved: approved}
+}
+
 func (n *fakeNode) sign(nonce string) *evidence.Signed {
 	if n.replay && n.recorded != nil {
 		return n.recorded
@@ -265,3 +279,28 @@
 		So(lines[6], ShouldStartWith, "1 of 3 VMs hold 2@")
 	})
 }
+
+func TestFetchReadsBackTheReleaseInForce(t *testing.T) {
+	Convey("A fetched release is the published one, byte for byte", t, func() {
+		f := newFleet(t)
+		defer f.stop()
+		out := filepath.Join(f.dir, "fetched")
+		r := runCLI("fetch", "--node", f.nodes[0].vm.Admin.String(), "--out", out)
+		So(r.err, ShouldBeEmpty)
+		So(runCLI("verify", "--trust", f.trust, out).code, ShouldEqual, console.ExitOK)
+		paths, err := filepath.Glob(filepath.Join(f.second, "*.json"))
+		So(err, ShouldBeNil)
+		chunks, err := filepath.Glob(filepath.Join(f.second, "chunks", "*.json"))
+		So(err, ShouldBeNil)
+		So(append(paths, chunks...), ShouldHaveLength, 5)
+		for _, path := range append(paths, chunks...) {
+			name, err := filepath.Rel(f.second, path)
+			So(err, ShouldBeNil)
+			want, err := os.ReadFile(path)
+			So(err, ShouldBeNil)
+			got, err := os.ReadFile(filepath.Join(out, name))
+			So(err, ShouldBeNil)
+			So(string(got), ShouldEqual, string(want))
+		}
+	})
+}
--- a/cli/command/command.go
+++ b/cli/command/command.go
@@ -14,4 +14,5 @@
 	registerCompile(app, c)
 	registerKeygen(app, c)
 	registerApprove(app, c)
+	registerFetch(app, c)
 }
--- a/core/statusapi/config.go
+++ b/core/statusapi/config.go
@@ -20,4 +20,6 @@
 	Held       release.Version `json:"held"`
 	KeyID      string          `json:"key_id"`
 	Services   []*mesh.Service `json:"services"`
+	// Approved is the encoded manifest with its approvals.
+	Approved []byte `json:"approved"`
 }
--- a/node/query/query.go
+++ b/node/query/query.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"auburnladder.example/core/evidence"
+	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/statusapi"
@@ -87,15 +88,27 @@
 	if snap == nil {
 		return statusapi.Config{}, ErrNoRelease
 	}
+	approved, err := encodeApproved(snap)
+	if err != nil {
+		return statusapi.Config{}, err
+	}
 	return statusapi.Config{
 		APIVersion: statusapi.APIVersion,
 		VM:         r.State.Identity.VM,
 		Held:       snap.Version,
 		KeyID:      snap.KeyID,
 		Services:   snap.Services(),
+		Approved:   approved,
 	}, nil
 }
 
+func encodeApproved(snap *mesh.Snapshot) ([]byte, error) {
+	if snap.Approved == nil {
+		return nil, nil
+	}
+	return snap.Approved.Encode()
+}
+
 // JournalSince returns the journal's entries with a number above after.
 func (r *Reader) JournalSince(after uint64) statusapi.Journal {
 	entries, dropped := r.Journal.Since(after)
@@ -138,8 +151,6 @@
 	if s.Chunks, err = evidence.ChunksOf(held.Snapshot); err != nil {
 		return err
 	}
-	if held.Snapshot.Approved != nil {
-		s.Approved, err = held.Snapshot.Approved.Encode()
-	}
+	s.Approved, err = encodeApproved(held.Snapshot)
 	return err
 }
