Tell from each node's view which VMs are dead, leaving or ejected

Status carries what probing found about every other VM; the command line adds the asked node's view to VMs that do not answer. Candidates come from the VM list, the probing and what calls taught, in that order.

--- a/cli/query/audit.go
+++ b/cli/query/audit.go
@@ -37,9 +37,12 @@
 		return err
 	}
 	client := f.fleet.client(c)
-	if plan.VMs, err = f.fleet.list(client); err != nil {
+	list, err := f.fleet.list(client)
+	if err != nil {
 		return err
 	}
+	plan.VMs = list.vms
+	plan.ListSource = list.name
 	report := audit.Run(client, plan, c.Now())
 	if err := f.write(c, &report); err != nil {
 		return err
@@ -79,7 +82,6 @@
 		ApprovalKeyID: snapshot.KeyID,
 		Trust:         trust,
 		NodeKeys:      keys,
-		ListSource:    f.fleet.source(),
 	}, nil
 }
 
--- a/cli/query/flags.go
+++ b/cli/query/flags.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 
@@ -8,6 +9,7 @@
 
 	"auburnladder.example/cli/console"
 	"auburnladder.example/cli/fleet"
+	"auburnladder.example/core/statusapi"
 	"auburnladder.example/core/vmlist"
 )
 
@@ -34,15 +36,37 @@
 	return client
 }
 
+// vmSource is a list of VMs with where it comes from.
+type vmSource struct {
+	name string
+	vms  []vmlist.VM
+	// asked is the node that gave the list, nil for a file.
+	asked *statusapi.Status
+}
+
+// view says what the node that gave the list found about a VM; "" if nothing.
+func (s *vmSource) view(vm string) string {
+	if s.asked == nil {
+		return ""
+	}
+	for _, p := range s.asked.Peers {
+		if p.VM == vm {
+			return fmt.Sprintf("%s finds it %s", s.asked.VM, p.State)
+		}
+	}
+	return ""
+}
+
 // list returns the VMs to ask.
-func (f *fleetFlags) list(client *fleet.Client) ([]vmlist.VM, error) {
+func (f *fleetFlags) list(client *fleet.Client) (*vmSource, error) {
 	switch {
 	case (f.node == "") == (f.vms == ""):
-		return nil, fmt.Errorf("expected either --node or --vms")
+		return nil, errors.New("expected either --node or --vms")
 	case f.config.Parallel < 1:
 		return nil, fmt.Errorf("--parallel: found %d, expected 1 or more", f.config.Parallel)
 	case f.vms != "":
-		return fleet.ReadVMs(f.vms)
+		vms, err := fleet.ReadVMs(f.vms)
+		return &vmSource{name: "file " + f.vms, vms: vms}, err
 	}
 	addr, err := netip.ParseAddrPort(f.node)
 	if err != nil {
@@ -55,13 +79,6 @@
 	if len(status.VMs) == 0 {
 		return nil, console.Failed("node %s holds no list of VMs yet", status.VM)
 	}
-	return status.VMs, nil
-}
-
-// source says where the list of VMs comes from.
-func (f *fleetFlags) source() string {
-	if f.vms != "" {
-		return "file " + f.vms
-	}
-	return "node " + f.node
+	name := fmt.Sprintf("node %s at %s, revision %d", status.VM, f.node, status.VMListRevision)
+	return &vmSource{name: name, vms: status.VMs, asked: status}, nil
 }
--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -63,11 +63,12 @@
 
 func status(c *console.Console, flags *fleetFlags, format string) error {
 	client := flags.client(c)
-	vms, err := flags.list(client)
+	list, err := flags.list(client)
 	if err != nil {
 		return err
 	}
-	rows := fleet.Each(client, vms, func(vm vmlist.VM) nodeRow { return askStatus(client, vm) })
+	rows := fleet.Each(client, list.vms, func(vm vmlist.VM) nodeRow { return askStatus(client, vm) })
+	addViews(rows, list)
 	result := summarize(rows)
 	if format == console.FormatJSON {
 		return c.JSON(result)
@@ -103,6 +104,15 @@
 	return row
 }
 
+// addViews adds what the node that gave the list found about VMs without an answer.
+func addViews(rows []nodeRow, list *vmSource) {
+	for i := range rows {
+		if view := list.view(rows[i].VM); rows[i].State == stateUnreachable && view != "" {
+			rows[i].Reason += "; " + view
+		}
+	}
+}
+
 func summarize(rows []nodeRow) fleetStatus {
 	result := fleetStatus{VMs: rows}
 	for i := range rows {
--- a/core/statusapi/statusapi.go
+++ b/core/statusapi/statusapi.go
@@ -104,10 +104,4 @@
 	VM string `json:"vm"`
 	// State is the peer's membership state: alive, suspect, dead or leaving.
 	State string `json:"state"`
-	// Held is the release that the peer last announced.
-	Held release.Version `json:"held"`
-	// SeenAt is when the peer was last heard of, by the clock of this node.
-	SeenAt time.Time `json:"seen_at,omitzero"`
-	// Connected reports whether a session to the peer is open.
-	Connected bool `json:"connected"`
 }
--- a/node/query/candidates.go
+++ b/node/query/candidates.go
@@ -3,60 +3,106 @@
 import (
 	"time"
 
+	"auburnladder.example/core/membership"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/statusapi"
+	"auburnladder.example/node/state"
 )
 
 // Reasons for which a server gets no work from this node.
 const (
 	excludedLeaving = "leaving"
+	excludedDead    = "dead: its node answers no probe"
 	excludedEjected = "ejected: it failed more often than the others"
-	excludedBlocked = "leaving, or refused a call and asked to be left alone"
+	excludedBlocked = "refused a call and asked to be left alone"
 	excludedSuspect = "suspect: used only if no other server is left"
 )
 
+// Tables returns what a node knows about the servers of a service, or nil.
+type Tables interface {
+	Table(service string) *routing.Table
+}
+
 // candidates describes the servers of a service as this node sees them now.
 func (r *Reader) candidates(service string) []statusapi.Candidate {
-	if r.Directory != nil {
-		if t := r.Directory.Table(service); t != nil {
-			return tableCandidates(t, r.Now())
-		}
-	}
+	fleet := r.State.Fleet()
+	known := r.endpoints(service)
 	var all []statusapi.Candidate
-	for _, vm := range r.State.Fleet().Servers(service) {
-		c := statusapi.Candidate{VM: vm.ID, Domain: vm.Domain, Weight: 1}
-		if vm.Leaving {
-			c.Excluded = excludedLeaving
+	for _, vm := range fleet.VMs {
+		if vm.Service != service {
+			continue
+		}
+		c := statusapi.Candidate{VM: vm.ID, Domain: vm.Domain, Weight: 1, Excluded: excludedFrom(fleet, vm.ID)}
+		if k, found := known[vm.ID]; found {
+			k.describe(&c, r.Now())
 		}
 		all = append(all, c)
 	}
 	return all
 }
 
-func tableCandidates(t *routing.Table, now time.Time) []statusapi.Candidate {
-	all := make([]statusapi.Candidate, 0, len(t.Endpoints))
+// endpoint is a server together with the slow start of its service.
+type endpoint struct {
+	*routing.Endpoint
+	slowStart time.Duration
+}
+
+// endpoints returns the servers of a service by VM, none if nothing was learned.
+func (r *Reader) endpoints(service string) map[string]endpoint {
+	if r.Tables == nil {
+		return nil
+	}
+	t := r.Tables.Table(service)
+	if t == nil {
+		return nil
+	}
+	byVM := make(map[string]endpoint, len(t.Endpoints))
 	for _, e := range t.Endpoints {
-		all = append(all, statusapi.Candidate{
-			VM:       e.VM,
-			Domain:   e.Domain,
-			Excluded: excluded(e, now),
-			InFlight: e.InFlight(),
-			Load:     e.Load(now),
-			Weight:   e.Weight(now, t.SlowStart),
-		})
+		byVM[e.VM] = endpoint{Endpoint: e, slowStart: t.SlowStart}
 	}
-	return all
+	return byVM
 }
 
-func excluded(e *routing.Endpoint, now time.Time) string {
+// describe adds what this node learned from calls.
+func (e endpoint) describe(c *statusapi.Candidate, now time.Time) {
+	c.InFlight = e.InFlight()
+	c.Load = e.Load(now)
+	c.Weight = e.Weight(now, e.slowStart)
+	if c.Excluded != "" {
+		return
+	}
 	switch {
 	case e.Ejected(now):
-		return excludedEjected
+		c.Excluded = excludedEjected
 	case e.Blocked(now):
-		return excludedBlocked
+		c.Excluded = excludedBlocked
 	case e.Suspect(now):
-		return excludedSuspect
+		c.Excluded = excludedSuspect
+	}
+}
+
+// excludedFrom says why the VM list and probing exclude a VM; "" if they do not.
+func excludedFrom(fleet *state.Fleet, vm string) string {
+	if fleet.VM(vm).Leaving {
+		return excludedLeaving
+	}
+	switch fleet.Health(vm) {
+	case membership.Dead:
+		return excludedDead
+	case membership.Leaving:
+		return excludedLeaving
 	default:
 		return ""
 	}
 }
+
+// peers returns what probing found about every other VM.
+func (r *Reader) peers(fleet *state.Fleet) []statusapi.PeerStatus {
+	all := make([]statusapi.PeerStatus, 0, len(fleet.VMs))
+	for _, vm := range fleet.VMs {
+		if vm.ID != r.State.Identity.VM {
+			all = append(all, statusapi.PeerStatus{VM: vm.ID, State: fleet.Health(vm.ID).String()})
+		}
+	}
+	return all
+}
--- a/node/query/query.go
+++ b/node/query/query.go
@@ -8,7 +8,6 @@
 	"auburnladder.example/core/evidence"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
-	"auburnladder.example/core/routing"
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/state"
 )
@@ -29,9 +28,8 @@
 	Journal *Journal
 	// Key signs evidence; nil if the settings give none.
 	Key *release.SigningKey
-	// Directory holds what the node knows about servers; nil if only the VM list is
-	// known.
-	Directory *routing.Directory
+	// Tables holds what the node learned about servers from calls; nil if nothing.
+	Tables Tables
 	// Extend adds what other parts of the node know to a status; nil if nothing.
 	Extend func(*statusapi.Status)
 }
@@ -53,6 +51,7 @@
 		Conflicts:      r.Journal.conflicts(),
 		Drain:          r.drain(),
 		Server:         statusapi.ServerUnknown,
+		Peers:          r.peers(fleet),
 		VMs:            fleet.VMs,
 	}
 	if held := r.State.Held(); held != nil {
