--- a/cli/query/explain.go
+++ b/cli/query/explain.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -15,39 +16,90 @@
 	"auburnladder.example/core/statusapi"
 )
 
+type explainFlags struct {
+	node, caller, vm string
+	method, url      string
+	format           *string
+}
+
 func registerExplain(app *kingpin.Application, c *console.Console) {
-	cmd := app.Command("explain", "Show how a node would treat a request now, and why.")
-	node := cmd.Flag("node", "Admin address ip:port of the node.").Required().String()
-	caller := cmd.Flag("caller", "Who calls: public or the name of a service.").Default(mesh.PublicCaller).String()
-	format := console.FormatFlag(cmd)
-	method := cmd.Arg("method", "HTTP method.").Required().String()
-	target := cmd.Arg("url", "URL of the request, such as http://programma.zaalwijzer.example/sessions.").Required().String()
-	cmd.Action(func(*kingpin.ParseContext) error {
-		return explain(c, *node, *caller, strings.ToUpper(*method), *target, *format)
-	})
+	cmd := app.Command("explain", "Show how a node would treat a request now, or whether it sends work to a VM, and why.")
+	f := explainFlags{format: console.FormatFlag(cmd)}
+	cmd.Flag("node", "Admin address ip:port of the node.").Required().StringVar(&f.node)
+	cmd.Flag("caller", "Who calls: public or the name of a service.").Default(mesh.PublicCaller).StringVar(&f.caller)
+	cmd.Flag("vm", "VM to explain, in place of a request.").StringVar(&f.vm)
+	cmd.Arg("method", "HTTP method.").StringVar(&f.method)
+	cmd.Arg("url", "URL of the request, such as http://programma.zaalwijzer.example/sessions.").StringVar(&f.url)
+	cmd.Action(func(*kingpin.ParseContext) error { return f.run(c) })
 }
 
-func explain(c *console.Console, node, caller, method, target, format string) error {
-	addr, err := netip.ParseAddrPort(node)
+func (f *explainFlags) run(c *console.Console) error {
+	addr, err := netip.ParseAddrPort(f.node)
 	if err != nil {
-		return fmt.Errorf("--node: found %q, expected ip:port", node)
+		return fmt.Errorf("--node: found %q, expected ip:port", f.node)
+	}
+	client := fleet.NewClient(fleet.DefaultConfig())
+	switch {
+	case f.vm != "" && f.method != "":
+		return errors.New("expected either --vm or METHOD URL")
+	case f.vm != "":
+		return f.explainVM(c, client, addr)
+	default:
+		return f.explainRequest(c, client, addr)
 	}
-	u, err := url.Parse(target)
-	if err != nil || u.Hostname() == "" {
-		return fmt.Errorf("url: found %q, expected http://HOST/PATH", target)
+}
+
+func (f *explainFlags) explainRequest(c *console.Console, client *fleet.Client, addr netip.AddrPort) error {
+	u, err := url.Parse(f.url)
+	if err != nil || u.Hostname() == "" || f.method == "" {
+		return fmt.Errorf("found %q %q, expected METHOD http://HOST/PATH", f.method, f.url)
+	}
+	question := url.Values{
+		"method": {strings.ToUpper(f.method)}, "host": {u.Hostname()}, "path": {orRoot(u.Path)}, "caller": {f.caller},
 	}
-	question := url.Values{"method": {method}, "host": {u.Hostname()}, "path": {orRoot(u.Path)}, "caller": {caller}}
 	var e statusapi.Explanation
-	client := fleet.NewClient(fleet.DefaultConfig())
 	if err := client.Get(addr, statusapi.ExplainPath+"?"+question.Encode(), &e); err != nil {
 		return console.Failed("%w", err)
 	}
-	if format == console.FormatJSON {
+	if *f.format == console.FormatJSON {
 		return c.JSON(e)
 	}
 	return printExplanation(c, e)
 }
 
+func (f *explainFlags) explainVM(c *console.Console, client *fleet.Client, addr netip.AddrPort) error {
+	question := url.Values{"vm": {f.vm}}
+	var e statusapi.VMExplanation
+	if err := client.Get(addr, statusapi.ExplainVMPath+"?"+question.Encode(), &e); err != nil {
+		return console.Failed("%w", err)
+	}
+	if *f.format == console.FormatJSON {
+		return c.JSON(e)
+	}
+	c.Printf("node %s, release %s: %s\n", e.VM, e.Held, workOf(&e))
+	for _, r := range e.Routes {
+		c.Printf("route %s of %s leads to %s\n", r.Route, r.Service, e.Service)
+	}
+	if !e.Listed {
+		return nil
+	}
+	return printCandidates(c, []statusapi.Candidate{e.Subject})
+}
+
+// workOf says whether the subject gets work.
+func workOf(e *statusapi.VMExplanation) string {
+	switch {
+	case !e.Listed:
+		return fmt.Sprintf("%s gets no work: the VM list does not name it", e.Subject.VM)
+	case !e.Configured:
+		return fmt.Sprintf("%s gets no work: the release has no service %s", e.Subject.VM, e.Service)
+	case e.Subject.Excluded != "":
+		return fmt.Sprintf("%s gets no work: %s", e.Subject.VM, e.Subject.Excluded)
+	default:
+		return fmt.Sprintf("%s gets work", e.Subject.VM)
+	}
+}
+
 func orRoot(path string) string {
 	if path == "" {
 		return "/"
@@ -67,8 +119,12 @@
 		return nil
 	}
 	c.Printf("\n")
+	return printCandidates(c, e.Candidates)
+}
+
+func printCandidates(c *console.Console, candidates []statusapi.Candidate) error {
 	t := newTable(c.Out, "SERVER", "DOMAIN", "IN FLIGHT", "LOAD", "WEIGHT", "EXCLUDED")
-	for _, s := range e.Candidates {
+	for _, s := range candidates {
 		t.row(s.VM, s.Domain, fmt.Sprint(s.InFlight), fmt.Sprintf("%.2f", s.Load), fmt.Sprintf("%.2f", s.Weight), orDash(s.Excluded))
 	}
 	return t.flush()
--- a/core/statusapi/explain.go
+++ b/core/statusapi/explain.go
@@ -4,9 +4,35 @@
 	"auburnladder.example/core/release"
 )
 
-// ExplainPath answers with an Explanation. Query parameters: method, host, path and
-// caller, all required.
-const ExplainPath = "/v1/explain"
+const (
+	// ExplainPath answers with an Explanation. Query parameters: method, host, path
+	// and caller, all required.
+	ExplainPath = "/v1/explain"
+	// ExplainVMPath answers with a VMExplanation. Query parameter: vm.
+	ExplainVMPath = "/v1/explain/vm"
+)
+
+// VMExplanation says whether a node sends work to a VM, and why.
+type VMExplanation struct {
+	APIVersion string          `json:"api_version"`
+	VM         string          `json:"vm"`
+	Held       release.Version `json:"held"`
+	// Listed reports whether the subject is in the VM list of this node.
+	Listed  bool   `json:"listed"`
+	Service string `json:"service,omitempty"`
+	// Configured reports whether the release in force has the subject's service.
+	Configured bool `json:"configured"`
+	// Subject is the VM that is asked about, as a candidate of its service.
+	Subject Candidate `json:"subject"`
+	// Routes lead to the subject's service.
+	Routes []RouteName `json:"routes,omitempty"`
+}
+
+// RouteName names a route by the service that declares it.
+type RouteName struct {
+	Service string `json:"service"`
+	Route   string `json:"route"`
+}
 
 // Explanation says how a node would treat a request.
 type Explanation struct {
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -24,6 +24,7 @@
 	app.Get(statusapi.ConfigPath, func(c fiber.Ctx) error { return config(c, r) })
 	app.Get(statusapi.JournalPath, func(c fiber.Ctx) error { return journal(c, r) })
 	app.Get(statusapi.ExplainPath, func(c fiber.Ctx) error { return explain(c, r) })
+	app.Get(statusapi.ExplainVMPath, func(c fiber.Ctx) error { return c.JSON(r.ExplainVM(c.Query("vm"))) })
 	app.Get(statusapi.EvidencePath, func(c fiber.Ctx) error { return signEvidence(c, r) })
 	app.Get(statusapi.HealthPath, func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get(statusapi.ReadyPath, func(c fiber.Ctx) error { return ready(c, r) })
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -211,6 +211,22 @@
 			So(e.Candidates[1].Excluded, ShouldEqual, "leaving")
 		})
 	}
+	Convey("Explain a VM that leaves, and one that is not listed", t, func() {
+		f := newFixture()
+		f.apply()
+		peer := netip.MustParseAddrPort("127.0.0.1:1")
+		f.command.ApplyVMList(&vmlist.List{Revision: 1, VMs: []vmlist.VM{
+			{ID: "orders-2", Service: "orders", Domain: "b", Peer: peer, Leaving: true},
+		}})
+		var e statusapi.VMExplanation
+		So(f.get(statusapi.ExplainVMPath+"?vm=orders-2", &e), ShouldEqual, fiber.StatusOK)
+		So(e.Listed && e.Configured, ShouldBeTrue)
+		So(e.Subject.Excluded, ShouldEqual, "leaving")
+		So(e.Routes, ShouldContain, statusapi.RouteName{Service: "orders", Route: "create-item"})
+		var unknown statusapi.VMExplanation
+		So(f.get(statusapi.ExplainVMPath+"?vm=orders-3", &unknown), ShouldEqual, fiber.StatusOK)
+		So(unknown.Listed, ShouldBeFalse)
+	})
 	Convey("Explain without a release, or without parameters", t, func() {
 		f := newFixture()
 		var e statusapi.Explanation
--- a/node/query/explain.go
+++ b/node/query/explain.go
@@ -45,6 +45,43 @@
 	return e
 }
 
+// ExplainVM says whether this node sends work to a VM, and why.
+func (r *Reader) ExplainVM(id string) statusapi.VMExplanation {
+	e := statusapi.VMExplanation{
+		APIVersion: statusapi.APIVersion,
+		VM:         r.State.Identity.VM,
+		Subject:    statusapi.Candidate{VM: id},
+	}
+	vm := r.State.Fleet().VM(id)
+	if vm != nil {
+		e.Listed = true
+		e.Service = vm.Service
+		for _, c := range r.candidates(vm.Service) {
+			if c.VM == id {
+				e.Subject = c
+			}
+		}
+	}
+	if snap := r.State.Snapshot(); snap != nil {
+		e.Held = snap.Version
+		e.Configured = snap.Service(e.Service) != nil
+		e.Routes = routesTo(snap, e.Service)
+	}
+	return e
+}
+
+func routesTo(snap *mesh.Snapshot, service string) []statusapi.RouteName {
+	var routes []statusapi.RouteName
+	for _, svc := range snap.Services() {
+		for _, r := range svc.Routes {
+			if r.Service == service {
+				routes = append(routes, statusapi.RouteName{Service: svc.Name, Route: r.Name})
+			}
+		}
+	}
+	return routes
+}
+
 // noRouteReason says which part of a request matches no route.
 func noRouteReason(snap *mesh.Snapshot, req Request) string {
 	var methods []string
