--- a/node/members.go
+++ b/node/members.go
@@ -12,7 +12,7 @@
 		VM:     n.cfg.VM.ID,
 		Config: membershipConfig(n.cfg.Preset),
 		Held:   n.held,
-		OnView: n.command.ApplyView,
+		OnView: n.viewChanged,
 		Log:    n.log,
 	})
 	if err != nil {
@@ -23,6 +23,12 @@
 	return nil
 }
 
+// viewChanged hands a view of the members to the request path and the distribution.
+func (n *Node) viewChanged(view *membership.View) {
+	n.command.ApplyView(view)
+	n.driver.SetView(n.state.Fleet().Live())
+}
+
 func membershipConfig(p settings.Preset) membership.Config {
 	if p == settings.PresetBytes {
 		return membership.Bytes()
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	dialTimeout = 2 * time.Second
 	// handshakeTimeout bounds how long an accepted connection may take to say Hello.
 	handshakeTimeout = 5 * time.Second
+	// retireTimeout bounds how long the streams of a retired session may take.
+	retireTimeout = time.Minute
 )
 
 // Peer is what the other end of a session said about itself.
@@ -65,6 +68,13 @@
 	mu       sync.Mutex
 	outgoing map[string]*outgoing
 	incoming map[*session.Session]struct{}
+	// open holds all sessions by the VM at the other end, the newest last.
+	open map[string][]*session.Session
+	// retired holds sessions in open that are given up and get no new streams.
+	retired map[*session.Session]struct{}
+	// notify orders calls of the observer; it is taken before mu.
+	notify   sync.Mutex
+	observer Observer
 	tasks    conc.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -80,6 +90,8 @@
 		log:      log,
 		outgoing: make(map[string]*outgoing),
 		incoming: make(map[*session.Session]struct{}),
+		open:     make(map[string][]*session.Session),
+		retired:  make(map[*session.Session]struct{}),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
@@ -87,9 +99,10 @@
 	return s
 }
 
-// Get returns the session to the VM, opening one if there is none.
+// Get returns a session to the VM, whichever end opened it. It opens one if there is
+// none.
 func (s *Set) Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error) {
-	if ses := s.open(vm); ses != nil {
+	if ses := s.find(vm); ses != nil {
 		return ses, nil
 	}
 	result := s.dials.DoChan(vm, func() (any, error) { return s.dial(vm, addr) })
@@ -104,25 +117,42 @@
 	}
 }
 
-func (s *Set) open(vm string) *session.Session {
+// Retire keeps ses from being returned by Get again. Its streams may still end; it
+// is closed after retireTimeout.
+func (s *Set) Retire(vm string, ses *session.Session) {
+	s.mu.Lock()
+	if slices.Contains(s.open[vm], ses) {
+		s.retired[ses] = struct{}{}
+	}
+	s.mu.Unlock()
+	s.remove(vm, ses)
+	time.AfterFunc(retireTimeout, ses.Close)
+}
+
+func (s *Set) find(vm string) *session.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if out := s.outgoing[vm]; out != nil && !out.session.IsClosed() {
 		out.lastUse.Store(time.Now().UnixNano())
 		return out.session
 	}
+	for _, ses := range slices.Backward(s.open[vm]) {
+		if _, retired := s.retired[ses]; !retired && !ses.IsClosed() {
+			return ses
+		}
+	}
 	return nil
 }
 
 func (s *Set) dial(vm string, addr netip.AddrPort) (*session.Session, error) {
-	if ses := s.open(vm); ses != nil {
+	if ses := s.find(vm); ses != nil {
 		return ses, nil
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, dialTimeout)
 	defer cancel()
 	conn, err := s.cfg.Transport.Dial(ctx, vm, addr)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("dial peer %s: %w", vm, err)
 	}
 	ses, err := session.Client(conn, s.cfg.Session)
 	if err != nil {
@@ -248,6 +278,8 @@
 func (s *Set) serve(ses *session.Session, from Peer) {
 	stop := context.AfterFunc(s.ctx, ses.Close)
 	defer stop()
+	s.opened(from.VM, ses)
+	defer s.closed(from.VM, ses)
 	var streams conc.WaitGroup
 	defer streams.Wait()
 	ctx, cancel := context.WithCancel(s.ctx)
