--- a/node/distribution/driver.go
+++ b/node/distribution/driver.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/distribution"
+	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/command"
@@ -30,9 +32,6 @@
 	// Seeds are VMs known before the first VM list; may be empty.
 	Seeds []vmlist.VM
 	Trust *release.Trust
-	// Report is called for each report of the machine; nil if only the log is wanted. It
-	// must not call the driver.
-	Report func(distribution.Report)
 }
 
 // Driver connects one machine to the platform and to other nodes. Its methods are safe
@@ -216,17 +215,29 @@
 	}
 }
 
+// report brings a report to the log and the journal.
 func (d *Driver) report(r distribution.Report) {
-	d.log.Warn().
-		Str("event", string(r.Kind)).
-		Stringer("release", r.Version).
-		Stringer("other", r.Other).
-		Str("peer", r.Peer).
-		Str("service", r.Service).
-		Str("field", r.Field).
-		Str("reason", r.Reason).
-		Msg("configuration")
-	if d.cfg.Report != nil {
-		d.cfg.Report(r)
+	switch r.Kind {
+	case distribution.ReportRefused:
+		d.command.RefuseRelease(r.Version, refusal(r))
+	case distribution.ReportConflict:
+		d.command.NoteConflict(r.Version, r.Other)
+	case distribution.ReportPaused:
+		d.command.NotePause(r.Reason)
+	default:
+		d.log.Warn().
+			Str("event", string(r.Kind)).
+			Stringer("release", r.Version).
+			Stringer("other", r.Other).
+			Str("field", r.Field).
+			Msg(r.Reason)
+	}
+}
+
+// refusal returns the reason of a refusal, with its field if that is known.
+func refusal(r distribution.Report) error {
+	if r.Field != "" {
+		return &mesh.FieldError{Service: r.Service, Field: r.Field, Reason: r.Reason}
 	}
+	return errors.New(r.Reason)
 }
--- a/node/distribution/driver_test.go
+++ b/node/distribution/driver_test.go
@@ -111,10 +111,6 @@
 	m.driver.ServeStream(from.VM, req, st)
 }
 
-func (m *member) held() release.Version {
-	return m.driver.Status().Versions.Held
-}
-
 func newFleet(t *testing.T, size, domains int) *fleet {
 	key, err := release.GenerateKey("ops")
 	So(err, ShouldBeNil)
@@ -159,9 +155,11 @@
 	So(err, ShouldBeNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	hello := func() *peerpb.Hello { return &peerpb.Hello{Vm: vm.ID, Service: vm.Service, Domain: vm.Domain} }
-	sessions := session.Config{ProbeInterval: 200 * time.Millisecond, ProbeTimeout: 500 * time.Millisecond, Backlog: 64}
+	sessions := peers.DefaultConfig()
+	sessions.Transport = m
+	sessions.Session.ProbeInterval = 200 * time.Millisecond
+	sessions.Session.ProbeTimeout = 500 * time.Millisecond
 	set := peers.New(ctx, sessions, hello, m, log)
-	set.Dial = m.dial
 	var tasks conc.WaitGroup
 	tasks.Go(func() { _ = set.Serve(l) })
 	tasks.Go(func() { m.driver.Run(ctx, set) })
@@ -195,17 +193,21 @@
 	return c.Conn.Write(p)
 }
 
-// dial opens connections that become silent for good once silent was set; later ones
-// work.
-func (m *member) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+// Dial implements peers.Transport. Its connections become silent for good once silent
+// was set; later ones work.
+func (m *member) Dial(ctx context.Context, vm string, addr netip.AddrPort) (net.Conn, error) {
+	conn, err := peers.TCP{}.Dial(ctx, vm, addr)
 	if err != nil || m.silent.Load() {
 		return conn, err
 	}
 	return silentConn{Conn: conn, silent: &m.silent}, nil
 }
 
+// Accept implements peers.Transport.
+func (m *member) Accept(ctx context.Context, conn net.Conn) (net.Conn, string, error) {
+	return peers.TCP{}.Accept(ctx, conn)
+}
+
 func (f *fleet) publish(sequence uint64, salt int) release.Version {
 	svc := &mesh.Service{
 		Name: "a", Hosts: []string{"a.example"}, Callers: []string{mesh.PublicCaller}, Priority: mesh.PriorityNormal,
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	coredist "auburnladder.example/core/distribution"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
+	"auburnladder.example/core/statusapi"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/admin"
 	"auburnladder.example/node/command"
@@ -48,6 +49,7 @@
 	cfg      *settings.Settings
 	log      zerolog.Logger
 	state    *state.State
+	reader   *query.Reader
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
@@ -62,19 +64,36 @@
 		return nil, err
 	}
 	st := state.New(state.Identity{VM: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region})
-	cmd := &command.Commander{State: st, Log: log, Now: time.Now}
-	n := &Node{cfg: cfg, log: log, state: st}
+	reader, err := newReader(cfg, st)
+	if err != nil {
+		return nil, err
+	}
+	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
+	n := &Node{cfg: cfg, log: log, state: st, reader: reader}
 	n.driver, err = distribution.New(distributionConfig(cfg, trust), platform.NewClient(platformConfig(cfg)), cmd, log)
 	if err != nil {
 		return nil, err
 	}
-	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	reader.Extend = func(s *statusapi.Status) { s.Reader = n.driver.Status().Reader }
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
 	}
+	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	return n, nil
 }
 
+// newReader returns what operators read the node through.
+func newReader(cfg *settings.Settings, st *state.State) (*query.Reader, error) {
+	r := &query.Reader{State: st, Now: time.Now, Journal: query.NewJournal(time.Now)}
+	r.Journal.Record(statusapi.JournalEntry{Kind: statusapi.JournalStarted})
+	if cfg.NodeKey == "" {
+		return r, nil
+	}
+	var err error
+	r.Key, err = release.ParseSigningKey(cfg.NodeKey)
+	return r, err
+}
+
 // distributionConfig returns the preset with the platform's limits from the settings.
 func distributionConfig(cfg *settings.Settings, trust *release.Trust) distribution.Config {
 	machine := coredist.Convergence()
@@ -101,7 +120,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	n.peers = peers.New(ctx, session.DefaultConfig(), n.hello, n, n.log)
+	n.peers = peers.New(ctx, peers.DefaultConfig(), n.hello, n, n.log)
 	var tasks conc.WaitGroup
 	serve := func(name string, addr netip.AddrPort, run func(net.Listener) error) error {
 		l, err := net.Listen("tcp", addr.String())
@@ -138,7 +157,7 @@
 	if err := serve("peer", n.cfg.Listen.Peer, n.peers.Serve); err != nil {
 		return err
 	}
-	app := admin.New(&query.Reader{State: n.state, Now: time.Now})
+	app := admin.New(n.reader)
 	n.shutdown = append(n.shutdown, func() { _ = app.Shutdown() })
 	if err := serve("admin", n.cfg.Listen.Admin, func(l net.Listener) error {
 		return app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
--- a/node/peers/observe.go
+++ b/node/peers/observe.go
@@ -1,22 +1,11 @@
 package peers
 
 import (
-	"context"
-	"net"
-	"net/netip"
 	"slices"
 
 	"auburnladder.example/wire/session"
 )
 
-// Dialer opens a connection to another node.
-type Dialer func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-
-func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr.String())
-}
-
 // Observer is told about sessions, one call at a time. Its methods run on the goroutine
 // of a session and must not wait for other sessions.
 type Observer interface {
