--- a/core/distribution/candidate.go
+++ b/core/distribution/candidate.go
@@ -245,7 +245,7 @@
 	r := Report{Kind: ReportRefused, Version: v, Peer: from, Reason: err.Error()}
 	var field *mesh.FieldError
 	if errors.As(err, &field) {
-		r.Service, r.Field = field.Service, field.Field
+		r.Service, r.Field, r.Reason = field.Service, field.Field, field.Reason
 	}
 	m.emit(r)
 }
