Look up sessions without a lock

Cause: Get took the set's mutex for every call, a lock shared between requests, and a session could start a task while the set was closing (a race that the detector found in the driver's test). Change: one table of links; the session in use for each VM is read from a sync.Map; tasks start only while the set is open. Ruled out: copying a map on each change, which costs the fleet's size on every churn. Before: four maps under one mutex on the request path; race in 1 of 5 runs. After: 8 runs of peers and distribution with the race detector pass. Conclusion: the request path shares no lock in the session set.

--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +27,9 @@
 	retireTimeout = time.Minute
 )
 
+// errClosed reports that the set was closed while a session was being opened.
+var errClosed = errors.New("sessions are closed")
+
 // Peer is what the other end of a session said about itself.
 type Peer struct {
 	VM      string
@@ -65,13 +68,14 @@
 	log     zerolog.Logger
 	dials   singleflight.Group
 
-	mu       sync.Mutex
-	outgoing map[string]*outgoing
-	incoming map[*session.Session]struct{}
-	// open holds all sessions by the VM at the other end, the newest last.
-	open map[string][]*session.Session
-	// retired holds sessions in open that are given up and get no new streams.
-	retired map[*session.Session]struct{}
+	// current maps a VM to the *link that Get returns. It is read without locks.
+	current sync.Map
+
+	mu sync.Mutex
+	// links holds all sessions by the VM at the other end, the newest last.
+	links map[string][]*link
+	// closed is set once no task may start.
+	closed bool
 	// notify orders calls of the observer; it is taken before mu.
 	notify   sync.Mutex
 	observer Observer
@@ -84,16 +88,13 @@
 func New(ctx context.Context, cfg Config, hello Greeter, h Handler, log zerolog.Logger) *Set {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Set{
-		cfg:      cfg,
-		hello:    hello,
-		handler:  h,
-		log:      log,
-		outgoing: make(map[string]*outgoing),
-		incoming: make(map[*session.Session]struct{}),
-		open:     make(map[string][]*session.Session),
-		retired:  make(map[*session.Session]struct{}),
-		ctx:      ctx,
-		cancel:   cancel,
+		cfg:     cfg,
+		hello:   hello,
+		handler: h,
+		log:     log,
+		links:   make(map[string][]*link),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 	s.tasks.Go(s.closeIdle)
 	return s
@@ -117,33 +118,6 @@
 	}
 }
 
-// Retire keeps ses from being returned by Get again. Its streams may still end; it
-// is closed after retireTimeout.
-func (s *Set) Retire(vm string, ses *session.Session) {
-	s.mu.Lock()
-	if slices.Contains(s.open[vm], ses) {
-		s.retired[ses] = struct{}{}
-	}
-	s.mu.Unlock()
-	s.remove(vm, ses)
-	time.AfterFunc(retireTimeout, ses.Close)
-}
-
-func (s *Set) find(vm string) *session.Session {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if out := s.outgoing[vm]; out != nil && !out.session.IsClosed() {
-		out.lastUse.Store(time.Now().UnixNano())
-		return out.session
-	}
-	for _, ses := range slices.Backward(s.open[vm]) {
-		if _, retired := s.retired[ses]; !retired && !ses.IsClosed() {
-			return ses
-		}
-	}
-	return nil
-}
-
 func (s *Set) dial(vm string, addr netip.AddrPort) (*session.Session, error) {
 	if ses := s.find(vm); ses != nil {
 		return ses, nil
@@ -168,28 +142,24 @@
 		ses.Close()
 		return nil, fmt.Errorf("session to %s: %s answered at %s", vm, peer.VM, addr)
 	}
-	s.add(vm, ses)
-	s.tasks.Go(func() {
-		s.serve(ses, peer)
-		s.remove(vm, ses)
-	})
+	l := s.register(vm, ses, true)
+	if !s.spawn(func() { s.serve(l, peer) }) {
+		s.unregister(l)
+		ses.Close()
+		return nil, errClosed
+	}
 	return ses, nil
 }
 
-func (s *Set) add(vm string, ses *session.Session) {
-	out := &outgoing{session: ses}
-	out.lastUse.Store(time.Now().UnixNano())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.outgoing[vm] = out
-}
-
-func (s *Set) remove(vm string, ses *session.Session) {
+// spawn runs a task that Close waits for. It returns false once the set is closed.
+func (s *Set) spawn(task func()) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if out := s.outgoing[vm]; out != nil && out.session == ses {
-		delete(s.outgoing, vm)
+	if s.closed {
+		return false
 	}
+	s.tasks.Go(task)
+	return true
 }
 
 func (s *Set) greet(ctx context.Context, ses *session.Session) (Peer, error) {
@@ -213,7 +183,9 @@
 			}
 			return fmt.Errorf("accept peer: %w", err)
 		}
-		s.tasks.Go(func() { s.accept(conn) })
+		if !s.spawn(func() { s.accept(conn) }) {
+			_ = conn.Close()
+		}
 	}
 }
 
@@ -231,15 +203,9 @@
 		_ = conn.Close()
 		return
 	}
-	s.mu.Lock()
-	s.incoming[ses] = struct{}{}
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.incoming, ses)
-		s.mu.Unlock()
-		ses.Close()
-	}()
+	stop := context.AfterFunc(s.ctx, ses.Close)
+	defer stop()
+	defer ses.Close()
 	peer, err := s.welcome(ses)
 	if err == nil && vm != "" && vm != peer.VM {
 		err = fmt.Errorf("hello names VM %q on a connection of VM %q", peer.VM, vm)
@@ -248,7 +214,7 @@
 		s.log.Warn().Err(err).Str("event", "peer-refused").Stringer("addr", ses.RemoteAddr()).Msg("peer said no valid hello")
 		return
 	}
-	s.serve(ses, peer)
+	s.serve(s.register(peer.VM, ses, false), peer)
 }
 
 // welcome answers the Hello that must open the first stream of a session.
@@ -275,17 +241,16 @@
 }
 
 // serve hands the streams of one session to the handler until the session ends.
-func (s *Set) serve(ses *session.Session, from Peer) {
-	stop := context.AfterFunc(s.ctx, ses.Close)
+func (s *Set) serve(l *link, from Peer) {
+	defer s.unregister(l)
+	stop := context.AfterFunc(s.ctx, l.session.Close)
 	defer stop()
-	s.opened(from.VM, ses)
-	defer s.closed(from.VM, ses)
 	var streams conc.WaitGroup
 	defer streams.Wait()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	for {
-		st, err := ses.Accept()
+		st, err := l.session.Accept()
 		if err != nil {
 			return
 		}
@@ -308,25 +273,13 @@
 
 // Close ends all sessions and waits for their handlers.
 func (s *Set) Close() {
-	s.cancel()
 	s.mu.Lock()
-	for _, out := range s.outgoing {
-		out.session.Close()
-	}
-	for ses := range s.incoming {
-		ses.Close()
-	}
+	s.closed = true
 	s.mu.Unlock()
+	s.cancel()
 	s.tasks.Wait()
 }
 
-// Sessions returns the number of open sessions, outgoing and incoming.
-func (s *Set) Sessions() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.incoming) + len(s.outgoing)
-}
-
 func peerOf(h *peerpb.Hello) Peer {
 	return Peer{VM: h.GetVm(), Service: h.GetService(), Domain: h.GetDomain()}
 }
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -16,14 +16,14 @@
 	"github.com/sourcegraph/conc"
 )
 
-// link is a connection that can go silent: writes succeed and reach nobody.
-type link struct {
+// pipe is a connection that can go silent: writes succeed and reach nobody.
+type pipe struct {
 	net.Conn
 	mu     sync.Mutex
 	silent bool
 }
 
-func (l *link) Write(b []byte) (int, error) {
+func (l *pipe) Write(b []byte) (int, error) {
 	l.mu.Lock()
 	silent := l.silent
 	l.mu.Unlock()
@@ -33,7 +33,7 @@
 	return l.Conn.Write(b)
 }
 
-func (l *link) silence() {
+func (l *pipe) silence() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent = true
@@ -43,7 +43,7 @@
 type fakeTransport struct {
 	TCP
 	target *Set
-	links  []*link
+	links  []*pipe
 	err    error
 }
 
@@ -52,9 +52,9 @@
 		return nil, f.err
 	}
 	near, far := net.Pipe()
-	l := &link{Conn: near}
+	l := &pipe{Conn: near}
 	f.links = append(f.links, l)
-	f.target.tasks.Go(func() { f.target.accept(far) })
+	f.target.spawn(func() { f.target.accept(far) })
 	return l, nil
 }
 
