--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -182,7 +182,7 @@
 func printStatus(c *console.Console, r fleetStatus) error {
 	t := newTable(c.Out, "VM", "SERVICE", "DOMAIN", "RELEASE", "IN FORCE FOR", "READER", "STATE", "REASON")
 	for _, row := range r.VMs {
-		t.row(row.VM, row.Service, row.Domain, row.Held.String(), heldFor(row), yesNo(row.Reader), row.State, row.Reason)
+		t.row(row.VM, row.Service, row.Domain, held(row), heldFor(row), reader(row), row.State, row.Reason)
 	}
 	if err := t.flush(); err != nil {
 		return err
@@ -209,9 +209,21 @@
 	return (time.Duration(row.HeldFor) * time.Second).String()
 }
 
-func yesNo(b bool) string {
-	if b {
+// held returns "-" if the node did not say what it holds.
+func held(row nodeRow) string {
+	if row.status == nil {
+		return "-"
+	}
+	return row.Held.String()
+}
+
+func reader(row nodeRow) string {
+	switch {
+	case row.status == nil:
+		return "-"
+	case row.Reader:
 		return "yes"
+	default:
+		return "no"
 	}
-	return "no"
 }
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -55,12 +55,7 @@
 	return errors.New(r.Reason)
 }
 
-// extendStatus adds the node's part in the distribution and what it knows of peers.
+// extendStatus adds the node's part in the distribution.
 func (n *Node) extendStatus(s *statusapi.Status) {
 	s.Reader = n.driver.Status().Reader
-	for m := range n.prober.View().Members() {
-		if m.VM.ID != n.cfg.VM.ID {
-			s.Peers = append(s.Peers, statusapi.PeerStatus{VM: m.VM.ID, State: m.State.String()})
-		}
-	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,8 @@
 		return nil, err
 	}
 	n.router = proxy.NewRouter(st, log)
+	n.router.Journal = reader.Journal
+	reader.Tables = n.router
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
--- a/node/proxy/caller_router.go
+++ b/node/proxy/caller_router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/routing/p2c"
+	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/state"
 	"github.com/rs/zerolog"
 )
@@ -16,11 +18,15 @@
 // routerInterval is the time between two looks for changed servers and outliers.
 const routerInterval = 100 * time.Millisecond
 
+// percent turns a share into percent.
+const percent = 100
+
 // Router holds what all listeners of a node share to choose servers and to bound
 // retries. Its methods but Run are safe for concurrent use.
 type Router struct {
 	Picker    routing.Picker
 	Retry     retry.Config
+	Journal   Journal
 	state     *state.State
 	directory *routing.Directory
 	log       zerolog.Logger
@@ -30,6 +36,11 @@
 	fleet    *state.Fleet
 }
 
+// Journal records events for operators. Record is called by the goroutine of Refresh.
+type Journal interface {
+	Record(e statusapi.JournalEntry)
+}
+
 // NewRouter returns a router that follows st and chooses by power of two choices.
 func NewRouter(st *state.State, log zerolog.Logger) *Router {
 	place := routing.Place{Domain: st.Identity.Domain, Region: st.Identity.Region}
@@ -92,6 +103,16 @@
 	r.log.Warn().Str("event", "server-ejected").Str("vm", ev.Endpoint.VM).Str("service", ev.Endpoint.Service).
 		Dur("duration", ev.Duration).Float64("failure_share", ev.FailureShare).
 		Float64("others_share", ev.OthersShare).Msg("server fails more than the others of its service")
+	if r.Journal == nil {
+		return
+	}
+	r.Journal.Record(statusapi.JournalEntry{
+		Kind: statusapi.JournalServerEjected,
+		Cause: fmt.Sprintf("failed in %.0f%% of attempts, the others in %.0f%%; no work for %s",
+			percent*ev.FailureShare, percent*ev.OthersShare, ev.Duration),
+		VM:      ev.Endpoint.VM,
+		Service: ev.Endpoint.Service,
+	})
 }
 
 func servers(f *state.Fleet) []routing.Server {
