--- a/node/command/command.go
+++ b/node/command/command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"auburnladder.example/core/distribution"
 	"auburnladder.example/core/membership"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
@@ -83,19 +84,46 @@
 	c.record(entry)
 }
 
-// RecordConflict records that two releases carry one sequence number.
-func (c *Commander) RecordConflict(kept, dropped release.Version) {
+// NoteConflict records two different releases with one sequence number. Every node
+// keeps the same one.
+func (c *Commander) NoteConflict(kept, dropped release.Version) {
+	c.Log.Warn().Str("event", "release-conflict").
+		Stringer("release", kept).
+		Stringer("other", dropped).
+		Msg("two releases have one sequence number")
 	c.record(statusapi.JournalEntry{
 		Kind:    statusapi.JournalReleaseConflict,
-		Cause:   "two releases with one sequence number; the one with the higher digest is kept",
+		Cause:   "two releases have one sequence number",
 		Release: kept,
 		Other:   dropped,
 	})
 }
 
-// RecordEvent records something about releases or the process that changed nothing.
-func (c *Commander) RecordEvent(kind statusapi.JournalKind, v release.Version, cause string) {
-	c.record(statusapi.JournalEntry{Kind: kind, Release: v, Cause: cause})
+// NotePause records that the process did not run for a while.
+func (c *Commander) NotePause(reason string) {
+	c.Log.Warn().Str("event", "paused").Msg(reason)
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalPaused, Cause: reason})
+}
+
+// distributionKinds maps reports of the distribution to kinds of journal entries.
+var distributionKinds = map[distribution.ReportKind]statusapi.JournalKind{
+	distribution.ReportStartedAlone: statusapi.JournalSourceFailed,
+	distribution.ReportWithdrawn:    statusapi.JournalSourceBehind,
+	distribution.ReportSourceBehind: statusapi.JournalSourceBehind,
+	distribution.ReportOldBase:      statusapi.JournalReleaseOldBase,
+	distribution.ReportIncomplete:   statusapi.JournalReleaseRefused,
+}
+
+// NoteDistribution records a report of the distribution that changed nothing.
+func (c *Commander) NoteDistribution(r distribution.Report) {
+	c.Log.Warn().Str("event", string(r.Kind)).
+		Stringer("release", r.Version).
+		Stringer("other", r.Other).
+		Str("field", r.Field).
+		Msg(r.Reason)
+	if kind, known := distributionKinds[r.Kind]; known {
+		c.record(statusapi.JournalEntry{Kind: kind, Cause: r.Reason, Release: r.Version, Other: r.Other, Service: r.Service, Field: r.Field})
+	}
 }
 
 // ApplyVMList replaces the VM list by one of a higher revision.
