Match hosts with a port; show when the platform stops answering

A caller that reaches a node on another port than 80 sends the port in the Host header, and every such request met no route (404). The name is now compared without port and case. A start without peers was journaled as source-failed; it has its own kind.

--- a/cli/app/fleet_test.go
+++ b/cli/app/fleet_test.go
@@ -266,6 +266,8 @@
 			{Version: f.nodes[0].held.Version, Reason: "chunk is missing"},
 		}
 		lagging.Conflicts = []statusapi.Conflict{{Kept: old.Version, Dropped: release.Version{Sequence: 1}}}
+		f.nodes[0].status.Reader = true
+		lagging.Reader, lagging.SourceFailing = true, true
 		f.nodes[0].status.Peers = []statusapi.PeerStatus{{VM: "programma-c", State: "dead"}}
 		r := runCLI("status", "--node", f.nodes[0].vm.Admin.String())
 		So(r.code, ShouldEqual, console.ExitOK)
@@ -278,7 +280,8 @@
 		So(lines[3], ShouldContainSubstring, "programma-a finds it dead")
 		So(lines[4], ShouldContainSubstring, "publish release 2 to end it")
 		So(lines[5], ShouldContainSubstring, "by 1 VMs: no valid approval")
-		So(lines[6], ShouldStartWith, "1 of 3 VMs hold 2@")
+		So(lines[6], ShouldEqual, "platform: no answer to 1 of 2 readers")
+		So(lines[7], ShouldStartWith, "1 of 3 VMs hold 2@")
 	})
 }
 
--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -48,7 +48,11 @@
 	Conflicts []statusapi.Conflict `json:"conflicts,omitempty"`
 	// Refused lists releases newer than Newest that nodes refused.
 	Refused []refusal `json:"refused,omitempty"`
-	VMs     []nodeRow `json:"vms"`
+	// Readers counts the VMs that watch the platform's service, and ReadersFailing
+	// those of them that get no answer.
+	Readers        int       `json:"readers"`
+	ReadersFailing int       `json:"readers_failing"`
+	VMs            []nodeRow `json:"vms"`
 }
 
 // refusal is a release that nodes did not put in force for one reason.
@@ -127,6 +131,7 @@
 		}
 		result.addConflicts(row.status.Conflicts)
 		result.addRefused(row)
+		result.countReader(row.status)
 		if row.Held == result.Newest {
 			result.InForce++
 			continue
@@ -150,6 +155,16 @@
 	}
 }
 
+func (r *fleetStatus) countReader(s *statusapi.Status) {
+	if !s.Reader {
+		return
+	}
+	r.Readers++
+	if s.SourceFailing {
+		r.ReadersFailing++
+	}
+}
+
 // addRefused counts the refusals of one VM that still matter.
 func (r *fleetStatus) addRefused(row *nodeRow) {
 	for _, refused := range row.status.Refused {
@@ -194,6 +209,9 @@
 	for _, refused := range r.Refused {
 		c.Printf("refused: release %s by %d VMs: %s\n", refused.Version, len(refused.VMs), refused.Reason)
 	}
+	if r.ReadersFailing > 0 {
+		c.Printf("platform: no answer to %d of %d readers\n", r.ReadersFailing, r.Readers)
+	}
 	if r.Newest.IsZero() {
 		c.Printf("none of %d VMs holds a release\n", len(r.VMs))
 		return nil
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -51,6 +51,7 @@
 		So(s.Services(), ShouldHaveLength, 2)
 		So(s.MatchRoute("a.example", "GET", "/deep/er/x").Route.Name, ShouldEqual, "deep")
 		So(s.MatchRoute("a.example", "GET", "/deep/error").Route.Name, ShouldEqual, "all")
+		So(s.MatchRoute("A.example:8080", "GET", "/").Route.Name, ShouldEqual, "all")
 		So(s.MatchRoute("a.example", "POST", "/"), ShouldBeNil)
 		So(s.MatchRoute("c.example", "GET", "/"), ShouldBeNil)
 
--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -149,9 +149,10 @@
 	return all
 }
 
-// MatchRoute returns the route with the longest matching prefix, or nil.
+// MatchRoute returns the route with the longest matching prefix, or nil. A port in
+// host and its case do not matter.
 func (s *Snapshot) MatchRoute(host, method, path string) *Match {
-	for _, m := range s.hosts[host] {
+	for _, m := range s.hosts[hostName(host)] {
 		if hasPathPrefix(path, m.Route.Prefix) && slices.Contains(m.Route.Methods, method) {
 			return m
 		}
@@ -164,6 +165,12 @@
 	return slices.Contains(s.Callers, caller)
 }
 
+// hostName returns the name in an HTTP authority, in lower case.
+func hostName(authority string) string {
+	name, _, _ := strings.Cut(authority, ":")
+	return strings.ToLower(name)
+}
+
 func hasPathPrefix(path, prefix string) bool {
 	if !strings.HasPrefix(path, prefix) {
 		return false
--- a/core/statusapi/journal.go
+++ b/core/statusapi/journal.go
@@ -58,7 +58,9 @@
 	JournalReaderStarted JournalKind = "reader-started"
 	JournalReaderStopped JournalKind = "reader-stopped"
 	// JournalSourceBehind is a value of the platform that is older than what is held.
-	JournalSourceBehind   JournalKind = "source-behind"
-	JournalSourceFailed   JournalKind = "source-failed"
+	JournalSourceBehind JournalKind = "source-behind"
+	JournalSourceFailed JournalKind = "source-failed"
+	// JournalStartedAlone is a start without an answer from any peer.
+	JournalStartedAlone   JournalKind = "started-alone"
 	JournalSourceReturned JournalKind = "source-returned"
 )
--- a/core/statusapi/statusapi.go
+++ b/core/statusapi/statusapi.go
@@ -45,6 +45,9 @@
 	Now time.Time `json:"now"`
 	// Reader reports whether the node holds a watch on the platform's service.
 	Reader bool `json:"reader"`
+	// SourceFailing reports that the platform gave no answer to the last calls of this
+	// node. Only readers call it all the time.
+	SourceFailing bool `json:"source_failing"`
 	// VMListRevision is the revision of the VM list that the node holds.
 	VMListRevision uint64 `json:"vm_list_revision"`
 	// Refused lists the releases that the node did not put in force, newest first.
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -105,9 +105,21 @@
 	c.record(statusapi.JournalEntry{Kind: statusapi.JournalPaused, Cause: reason})
 }
 
+// NoteSourceFailed records that the platform stopped answering this node.
+func (c *Commander) NoteSourceFailed(err error) {
+	c.Log.Warn().Str("event", "source-failed").Err(err).Msg("platform does not answer; releases come from peers")
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalSourceFailed, Cause: err.Error()})
+}
+
+// NoteSourceReturned records that the platform answers this node again.
+func (c *Commander) NoteSourceReturned() {
+	c.Log.Info().Str("event", "source-returned").Msg("platform answers again")
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalSourceReturned})
+}
+
 // distributionKinds maps reports of the distribution to kinds of journal entries.
 var distributionKinds = map[distribution.ReportKind]statusapi.JournalKind{
-	distribution.ReportStartedAlone: statusapi.JournalSourceFailed,
+	distribution.ReportStartedAlone: statusapi.JournalStartedAlone,
 	distribution.ReportWithdrawn:    statusapi.JournalSourceBehind,
 	distribution.ReportSourceBehind: statusapi.JournalSourceBehind,
 	distribution.ReportOldBase:      statusapi.JournalReleaseOldBase,
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -25,4 +25,5 @@
 // extendStatus adds the node's part in the distribution.
 func (n *Node) extendStatus(s *statusapi.Status) {
 	s.Reader = n.driver.Status().Reader
+	s.SourceFailing = n.driver.SourceFailing()
 }
--- a/node/distribution/driver.go
+++ b/node/distribution/driver.go
@@ -45,6 +45,7 @@
 	metrics  *metrics
 	open     atomic.Int64
 	lastStep atomic.Int64
+	outage   outage
 
 	mu      sync.Mutex
 	machine *distribution.Machine
--- a/node/distribution/metrics.go
+++ b/node/distribution/metrics.go
@@ -19,11 +19,13 @@
 	fetches       expvar.Int
 	sourceCalls   expvar.Int
 	sourceBytes   expvar.Int
-	applies       expvar.Int
-	applyMicros   expvar.Int
-	replaced      expvar.Int
-	dropped       expvar.Int
-	all           *expvar.Map
+	// sourceFailures counts calls to the platform without an answer.
+	sourceFailures expvar.Int
+	applies        expvar.Int
+	applyMicros    expvar.Int
+	replaced       expvar.Int
+	dropped        expvar.Int
+	all            *expvar.Map
 }
 
 func newMetrics() *metrics {
@@ -46,6 +48,7 @@
 	m.all.Set("fetches", &m.fetches)
 	m.all.Set("source_calls", &m.sourceCalls)
 	m.all.Set("source_bytes", &m.sourceBytes)
+	m.all.Set("source_failures", &m.sourceFailures)
 	m.all.Set("applies", &m.applies)
 	m.all.Set("apply_us_total", &m.applyMicros)
 	m.all.Set("sessions_replaced", &m.replaced)
--- a/node/distribution/source.go
+++ b/node/distribution/source.go
@@ -27,8 +27,15 @@
 	case errors.Is(err, platform.ErrNotFound):
 	default:
 		d.log.Debug().Err(err).Str("event", "source-failed").Str("key", a.Key).Msg("platform gave no answer")
+		d.metrics.sourceFailures.Add(1)
+		if d.ctx.Err() == nil && d.outage.failed() {
+			d.command.NoteSourceFailed(err)
+		}
 		d.step(distribution.SourceFailed{Call: a.Call, Key: a.Key})
 		return
 	}
+	if d.outage.answered() {
+		d.command.NoteSourceReturned()
+	}
 	d.step(ev)
 }
