--- a/node/configuration.go
+++ b/node/configuration.go
@@ -22,12 +22,8 @@
 	return distribution.Config{Machine: machine, Self: self, Trust: trust}
 }
 
-// extendStatus adds the node's part in the distribution and what it knows of peers.
+// extendStatus adds the node's part in the distribution.
 func (n *Node) extendStatus(s *statusapi.Status) {
 	s.Reader = n.driver.Status().Reader
-	for m := range n.prober.View().Members() {
-		if m.VM.ID != n.cfg.VM.ID {
-			s.Peers = append(s.Peers, statusapi.PeerStatus{VM: m.VM.ID, State: m.State.String()})
-		}
-	}
+	s.SourceFailing = n.driver.SourceFailing()
 }
