--- a/node/command/command.go
+++ b/node/command/command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"auburnladder.example/core/membership"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
@@ -20,12 +21,19 @@
 type Commander struct {
 	State *state.State
 	Log   zerolog.Logger
+	// Members learns each VM list that was put in use; nil if none does.
+	Members Members
 	// Journal records what was changed; nil if none is kept.
 	Journal Journal
 	// Now returns the time that is recorded with a change.
 	Now func() time.Time
 }
 
+// Members probes the VMs of a list.
+type Members interface {
+	ReplaceList(list *vmlist.List)
+}
+
 // Journal records events for operators.
 type Journal interface {
 	Record(e statusapi.JournalEntry)
@@ -75,25 +83,19 @@
 	c.record(entry)
 }
 
-// NoteConflict records two different releases with one sequence number. Every node
-// keeps the same one.
-func (c *Commander) NoteConflict(kept, dropped release.Version) {
-	c.Log.Warn().Str("event", "release-conflict").
-		Stringer("release", kept).
-		Stringer("other", dropped).
-		Msg("two releases have one sequence number")
+// RecordConflict records that two releases carry one sequence number.
+func (c *Commander) RecordConflict(kept, dropped release.Version) {
 	c.record(statusapi.JournalEntry{
 		Kind:    statusapi.JournalReleaseConflict,
-		Cause:   "two releases have one sequence number",
+		Cause:   "two releases with one sequence number; the one with the higher digest is kept",
 		Release: kept,
 		Other:   dropped,
 	})
 }
 
-// NotePause records that the process did not run for a while.
-func (c *Commander) NotePause(reason string) {
-	c.Log.Warn().Str("event", "paused").Msg(reason)
-	c.record(statusapi.JournalEntry{Kind: statusapi.JournalPaused, Cause: reason})
+// RecordEvent records something about releases or the process that changed nothing.
+func (c *Commander) RecordEvent(kind statusapi.JournalKind, v release.Version, cause string) {
+	c.record(statusapi.JournalEntry{Kind: kind, Release: v, Cause: cause})
 }
 
 // ApplyVMList replaces the VM list by one of a higher revision.
@@ -108,6 +110,14 @@
 			Kind:  statusapi.JournalVMListApplied,
 			Cause: fmt.Sprintf("revision %d with %d VMs", list.Revision, len(list.VMs)),
 		})
+		if c.Members != nil {
+			c.Members.ReplaceList(list)
+		}
 	}
 	return changed
 }
+
+// ApplyView corrects the VM list by what probing found.
+func (c *Commander) ApplyView(view *membership.View) {
+	c.State.ReplaceView(view)
+}
--- a/node/distribution/driver.go
+++ b/node/distribution/driver.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/distribution"
-	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/command"
@@ -32,6 +30,9 @@
 	// Seeds are VMs known before the first VM list; may be empty.
 	Seeds []vmlist.VM
 	Trust *release.Trust
+	// Report is called for each report of the machine; nil if only the log is wanted. It
+	// must not call the driver.
+	Report func(distribution.Report)
 }
 
 // Driver connects one machine to the platform and to other nodes. Its methods are safe
@@ -45,6 +46,9 @@
 	metrics  *metrics
 	open     atomic.Int64
 	lastStep atomic.Int64
+	// nextView is the newest view that was not applied yet; viewChanged tells of it.
+	nextView    atomic.Pointer[[]vmlist.VM]
+	viewChanged chan struct{}
 
 	mu      sync.Mutex
 	machine *distribution.Machine
@@ -64,14 +68,15 @@
 		return nil, err
 	}
 	return &Driver{
-		cfg:      cfg,
-		platform: client,
-		command:  cmd,
-		log:      log,
-		metrics:  newMetrics(),
-		machine:  machine,
-		view:     make(map[string]vmlist.VM),
-		keepers:  make(map[string]context.CancelFunc),
+		cfg:         cfg,
+		platform:    client,
+		command:     cmd,
+		log:         log,
+		metrics:     newMetrics(),
+		machine:     machine,
+		view:        make(map[string]vmlist.VM),
+		viewChanged: make(chan struct{}, 1),
+		keepers:     make(map[string]context.CancelFunc),
 	}, nil
 }
 
@@ -91,6 +96,8 @@
 		select {
 		case <-ctx.Done():
 			running = false
+		case <-d.viewChanged:
+			d.takeView()
 		case <-ticker.C:
 			d.step(distribution.Tick{})
 		}
@@ -102,11 +109,23 @@
 	tasks.Wait()
 }
 
-// SetView replaces the live VMs, as the membership sees them.
+// SetView replaces the live VMs, as the membership sees them. It never blocks: the
+// membership calls it from its own goroutine, on which the driver may be waiting.
 func (d *Driver) SetView(vms []vmlist.VM) {
+	d.nextView.Store(&vms)
+	select {
+	case d.viewChanged <- struct{}{}:
+	default:
+	}
+}
+
+// takeView applies the newest view that SetView left.
+func (d *Driver) takeView() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.setView(vms)
+	if vms := d.nextView.Swap(nil); vms != nil {
+		d.setView(*vms)
+	}
 }
 
 func (d *Driver) setView(vms []vmlist.VM) {
@@ -171,7 +190,7 @@
 		d.metrics.applied(time.Since(now))
 	case distribution.ApplyVMList:
 		d.command.ApplyVMList(a.List)
-		d.setView(a.List.VMs)
+		d.setView(d.command.State.Fleet().Live())
 	case distribution.SetPhase:
 		d.command.State.SetResyncing(a.Phase == distribution.PhaseResyncing)
 		d.log.Info().Str("event", "phase-changed").Stringer("phase", a.Phase).Msg("configuration phase")
@@ -215,29 +234,17 @@
 	}
 }
 
-// report brings a report to the log and the journal.
 func (d *Driver) report(r distribution.Report) {
-	switch r.Kind {
-	case distribution.ReportRefused:
-		d.command.RefuseRelease(r.Version, refusal(r))
-	case distribution.ReportConflict:
-		d.command.NoteConflict(r.Version, r.Other)
-	case distribution.ReportPaused:
-		d.command.NotePause(r.Reason)
-	default:
-		d.log.Warn().
-			Str("event", string(r.Kind)).
-			Stringer("release", r.Version).
-			Stringer("other", r.Other).
-			Str("field", r.Field).
-			Msg(r.Reason)
-	}
-}
-
-// refusal returns the reason of a refusal, with its field if that is known.
-func refusal(r distribution.Report) error {
-	if r.Field != "" {
-		return &mesh.FieldError{Service: r.Service, Field: r.Field, Reason: r.Reason}
+	d.log.Warn().
+		Str("event", string(r.Kind)).
+		Stringer("release", r.Version).
+		Stringer("other", r.Other).
+		Str("peer", r.Peer).
+		Str("service", r.Service).
+		Str("field", r.Field).
+		Str("reason", r.Reason).
+		Msg("configuration")
+	if d.cfg.Report != nil {
+		d.cfg.Report(r)
 	}
-	return errors.New(r.Reason)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -10,16 +10,15 @@
 	"net/netip"
 	"time"
 
-	coredist "auburnladder.example/core/distribution"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
-	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/admin"
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/platform"
+	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
@@ -29,20 +28,10 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 )
 
-const (
-	// protocolVersion is the version of the messages between nodes.
-	protocolVersion = 1
-	// maxHeaderBytes bounds the head of a caller's request.
-	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a caller's body before the route's own limit applies.
-	maxBodyBytes = 1 << 20
-	// slowSenderTimeout bounds how long a caller may take to send a request.
-	slowSenderTimeout = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-)
+// protocolVersion is the version of the messages between nodes.
+const protocolVersion = 1
 
 // Node is one running node.
 type Node struct {
@@ -50,9 +39,12 @@
 	log      zerolog.Logger
 	state    *state.State
 	reader   *query.Reader
+	command  *command.Commander
+	prober   *probe.Prober
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
+	router   *proxy.Router
 	listens  []net.Listener
 	shutdown []func()
 }
@@ -69,16 +61,17 @@
 		return nil, err
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
-	n := &Node{cfg: cfg, log: log, state: st, reader: reader}
-	n.driver, err = distribution.New(distributionConfig(cfg, trust), platform.NewClient(platformConfig(cfg)), cmd, log)
+	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
+	n.driver, err = distribution.New(n.distributionConfig(trust), platform.NewClient(platformConfig(cfg)), cmd, log)
 	if err != nil {
 		return nil, err
 	}
-	reader.Extend = func(s *statusapi.Status) { s.Reader = n.driver.Status().Reader }
+	n.router = proxy.NewRouter(st, log)
+	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
 	}
-	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	reader.Extend = n.extendStatus
 	return n, nil
 }
 
@@ -94,20 +87,6 @@
 	return r, err
 }
 
-// distributionConfig returns the preset with the platform's limits from the settings.
-func distributionConfig(cfg *settings.Settings, trust *release.Trust) distribution.Config {
-	machine := coredist.Convergence()
-	if cfg.Preset == settings.PresetBytes {
-		machine = coredist.Bytes()
-	}
-	machine.SourceTimeout = cfg.Platform.Timeout.Std()
-	machine.WatchWait = cfg.Platform.Wait.Std()
-	self := vmlist.VM{
-		ID: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region, Peer: cfg.Listen.Peer,
-	}
-	return distribution.Config{Machine: machine, Self: self, Trust: trust}
-}
-
 func platformConfig(cfg *settings.Settings) platform.Config {
 	urls := make([]string, len(cfg.Platform.Addresses))
 	for i, a := range cfg.Platform.Addresses {
@@ -135,9 +114,14 @@
 		})
 		return nil
 	}
-	err := n.listen(serve)
+	err := n.startProber()
+	if err == nil {
+		tasks.Go(func() { n.prober.Run(ctx) })
+		err = n.listen(serve)
+	}
 	if err == nil {
 		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
+		tasks.Go(func() { n.router.Run(ctx) })
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -174,17 +158,8 @@
 }
 
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
-	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Caller: caller, Log: n.log}
-	srv := &fasthttp.Server{
-		Handler:               ingress.Handle,
-		Name:                  "auburnladder",
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           slowSenderTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
+	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Router: n.router, Caller: caller, Log: n.log}
+	srv := ingress.NewServer()
 	n.shutdown = append(n.shutdown, func() { _ = srv.Shutdown() })
 	return serve(name, addr, srv.Serve)
 }
--- a/node/peers/observe.go
+++ b/node/peers/observe.go
@@ -48,6 +48,7 @@
 	defer s.notify.Unlock()
 	s.mu.Lock()
 	s.open[vm] = slices.DeleteFunc(s.open[vm], func(o *session.Session) bool { return o == ses })
+	delete(s.retired, ses)
 	last := len(s.open[vm]) == 0
 	if last {
 		delete(s.open, vm)
