--- a/core/distribution/network_test.go
+++ b/core/distribution/network_test.go
@@ -64,6 +64,9 @@
 	reports []Report
 	// served is the history of versions that the node put in force in this life.
 	served []release.Version
+	// seed and trace hold what is needed to replay this life.
+	seed  uint64
+	trace []traced
 }
 
 type scheduled struct {
@@ -134,7 +137,8 @@
 	x.started = n.now
 	x.reports, x.served = nil, nil
 	x.sessions, x.neighbours = make(map[string]bool), make(map[string]bool)
-	x.machine = newMachine(n.t, n.fixture, n.cfg, x.vm, n.rng.Uint64())
+	x.seed, x.trace = n.rng.Uint64(), nil
+	x.machine = newMachine(n.t, n.fixture, n.cfg, x.vm, x.seed)
 	n.tick(x, x.life)
 	n.deliver(x, x.life, ViewChanged{VMs: n.vms[:min(seeds, len(n.vms))]})
 }
@@ -275,6 +279,7 @@
 
 func (n *network) step(x *node, ev Event) {
 	before := x.machine.Versions().Held
+	x.trace = append(x.trace, traced{At: n.now.Sub(epoch), Event: ev})
 	actions := x.machine.Step(n.now, ev)
 	for _, a := range actions {
 		n.check(x, before, a)
