Drain on SIGTERM, the list's mark and the server's own signal

Cause: SIGTERM cut every request in flight, and the mark in the VM list and the server's drain path had no effect on the server's own node.

The driver closes the admission in the step that sees a signal, keeps sessions until the calls in flight have ended, then sends the stop request and exits 0. SIGINT restarts the node alone and leaves the server running. Callers' requests at this node end before it exits.

Found by the driver's test: a signal handled before the first count of requests in flight let the machine stop the server under a request. The limits of a cold server now also start when the drain poll is the first to reach it again.

After: go test -race -count=5 ./node/proxy ./core/drain passes, goleak clean.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -56,8 +56,8 @@
 // drain path answers as usual again.
 type Withdraw struct{ Reason Reason }
 
-// InFlight reports the number of requests in flight. Send it on every change while the
-// machine is not in state Serving.
+// InFlight reports the number of requests in flight. Send it on every change, and at
+// least once after the actions of a Signal were carried out.
 type InFlight struct{ Count int }
 
 // Contract reports the stop contract of the release in force.
@@ -66,7 +66,7 @@
 // StopEnded reports that the stop request was answered or failed.
 type StopEnded struct{}
 
-// Tick lets time pass. Send it at Machine.Wake.
+// Tick lets time pass. Send it, or any other event, at Machine.Wake at the latest.
 type Tick struct{}
 
 func (Signal) event()    {}
--- a/core/drain/machine.go
+++ b/core/drain/machine.go
@@ -13,6 +13,9 @@
 	stop     mesh.Stop
 	reasons  map[Reason]bool
 	inFlight int
+	// counted is set once the requests in flight were reported after the refusal
+	// began: an earlier count may lack one that was just admitted.
+	counted bool
 	// since is when the drain began.
 	since time.Time
 	// limit is when a node in state StoppingServer exits at the latest.
@@ -64,7 +67,7 @@
 	case Withdraw:
 		return m.withdraw(ev.Reason)
 	case InFlight:
-		m.inFlight = ev.Count
+		m.inFlight, m.counted = ev.Count, true
 	case Contract:
 		m.stop = ev.Stop
 	case StopEnded:
@@ -78,7 +81,7 @@
 	if m.state != Serving {
 		return nil
 	}
-	m.state, m.since = Refusing, now
+	m.state, m.since, m.counted = Refusing, now, false
 	return []Action{Refuse{Reason: r}, Announce{Leaving: true}}
 }
 
@@ -99,7 +102,7 @@
 func (m *Machine) advance(now time.Time) []Action {
 	switch m.state {
 	case Refusing:
-		if now.Before(m.Wake()) {
+		if !m.counted || now.Before(m.Wake()) {
 			return nil
 		}
 		m.state = WaitingInFlight
--- a/core/drain/machine_test.go
+++ b/core/drain/machine_test.go
@@ -180,6 +180,11 @@
 				o.inFlight = rapid.IntRange(0, top).Draw(t, "count")
 				step(InFlight{o.inFlight})
 			},
+			"admitted_unseen": func(*rapid.T) {
+				if o.accepting {
+					o.inFlight++
+				}
+			},
 			"tick": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 				step(Tick{})
@@ -192,6 +197,7 @@
 		})
 		standing[ReasonTerminate] = true
 		step(Signal{ReasonTerminate})
+		step(InFlight{o.inFlight})
 		for range 3 {
 			if wake := m.Wake(); !wake.IsZero() {
 				now = wake
--- a/node/cmd/auburnladder-node/main.go
+++ b/node/cmd/auburnladder-node/main.go
@@ -10,10 +10,12 @@
 	"os/signal"
 	"syscall"
 
+	"auburnladder.example/core/drain"
 	"auburnladder.example/node"
 	"auburnladder.example/node/settings"
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 )
 
 // Exit codes of both binaries.
@@ -74,9 +76,9 @@
 		log.Error().Err(err).Str("event", "start-failed").Msg("node not started")
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	stop := followSignals(n)
 	defer stop()
-	if err := n.Run(ctx); err != nil {
+	if err := n.Run(context.Background()); err != nil {
 		log.Error().Err(err).Str("event", "stopped").Msg("node failed")
 		return exitFailed
 	}
@@ -84,6 +86,37 @@
 	return exitOK
 }
 
+// followSignals drains the node on SIGTERM, which also stops the backend server, and on
+// SIGINT, which restarts the node alone and leaves the server running.
+func followSignals(n *node.Node) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case sig := <-signals:
+				n.Drain(ctx, reasonOf(sig))
+			}
+		}
+	})
+	return func() {
+		signal.Stop(signals)
+		cancel()
+		tasks.Wait()
+	}
+}
+
+func reasonOf(sig os.Signal) drain.Reason {
+	if sig == syscall.SIGINT {
+		return drain.ReasonRestart
+	}
+	return drain.ReasonTerminate
+}
+
 func newLogger(cfg *settings.Settings, w io.Writer) zerolog.Logger {
 	if cfg.Log.Format == settings.LogConsole {
 		w = zerolog.ConsoleWriter{Out: w}
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -32,6 +32,7 @@
 // Members probes the VMs of a list.
 type Members interface {
 	ReplaceList(list *vmlist.List)
+	SetLeaving(leaving bool)
 }
 
 // Journal records events for operators.
@@ -106,3 +107,16 @@
 func (c *Commander) ApplyView(view *membership.View) {
 	c.State.ReplaceView(view)
 }
+
+// SetLeaving takes the node out of service or back, and tells the other members.
+func (c *Commander) SetLeaving(leaving bool, cause string) {
+	c.State.SetLeaving(leaving)
+	if c.Members != nil {
+		c.Members.SetLeaving(leaving)
+	}
+	step := "takes no new work: "
+	if !leaving {
+		step = "takes new work again: "
+	}
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalDrainStep, Cause: step + cause})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"auburnladder.example/core/drain"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
@@ -40,6 +41,8 @@
 	// slowSenderTimeout bounds how long a caller may take to send a request.
 	slowSenderTimeout = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// callersTimeout bounds how long requests of callers may take to end at a stop.
+	callersTimeout = 10 * time.Second
 )
 
 // Node is one running node.
@@ -53,6 +56,8 @@
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
+	drainer  *proxy.Drainer
+	callers  []*fasthttp.Server
 	listens  []net.Listener
 	shutdown []func()
 }
@@ -72,6 +77,7 @@
 	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
 	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
 	return n, nil
 }
 
@@ -122,6 +128,12 @@
 	if err == nil {
 		tasks.Go(func() { n.driver.Run(ctx) })
 		tasks.Go(func() { n.egress.Run(ctx) })
+		tasks.Go(func() {
+			if n.drainer.Run(ctx) {
+				n.stopCallers()
+				cancel(nil)
+			}
+		})
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -135,6 +147,23 @@
 	return err
 }
 
+// Drain takes the server out of service for the given reason; Run returns afterwards.
+// It may be called from any goroutine while Run runs, also repeatedly.
+func (n *Node) Drain(ctx context.Context, r drain.Reason) {
+	n.drainer.Signal(ctx, r)
+}
+
+// stopCallers lets the requests of callers end and closes their connections.
+func (n *Node) stopCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	for _, srv := range n.callers {
+		if err := srv.ShutdownWithContext(ctx); err != nil {
+			n.log.Warn().Err(err).Str("event", "callers-cut").Msg("requests of callers outlived the shutdown")
+		}
+	}
+}
+
 type serveFunc func(name string, addr netip.AddrPort, run func(net.Listener) error) error
 
 func (n *Node) listen(serve serveFunc) error {
@@ -169,7 +198,7 @@
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
-	n.shutdown = append(n.shutdown, func() { _ = srv.Shutdown() })
+	n.callers = append(n.callers, srv)
 	return serve(name, addr, srv.Serve)
 }
 
@@ -177,6 +206,7 @@
 	for _, f := range n.shutdown {
 		f()
 	}
+	n.stopCallers()
 	n.peers.Close()
 	for _, l := range n.listens {
 		_ = l.Close()
--- a/node/proxy/egress.go
+++ b/node/proxy/egress.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/admission"
@@ -30,6 +31,9 @@
 	seen    *seenCalls
 	pause   *admission.PauseDetector
 
+	// active counts admitted calls until their answer was given to the peer in full.
+	active atomic.Int64
+
 	mu     sync.Mutex
 	server mesh.Server
 }
@@ -41,7 +45,7 @@
 }
 
 func newEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger, cfg EgressConfig, now func() time.Time) *Egress {
-	return &Egress{
+	e := &Egress{
 		State:   st,
 		Log:     log,
 		Now:     now,
@@ -51,6 +55,8 @@
 		seen:    newSeenCalls(cfg.SeenCalls),
 		pause:   admission.NewPauseDetector(cfg.Pause, now()),
 	}
+	e.pool.onRestart = func() { e.limiter.Restart(now()) }
+	return e
 }
 
 // Run adopts the limits of new releases, notes pauses of the process and closes unused
@@ -82,13 +88,18 @@
 	}
 }
 
-// adoptServer takes the server's limits from the release in force.
-func (e *Egress) adoptServer() {
+// service returns the configuration of this node's own service, or nil.
+func (e *Egress) service() *mesh.Service {
 	snap := e.State.Snapshot()
 	if snap == nil {
-		return
+		return nil
 	}
-	svc := snap.Service(e.State.Identity.Service)
+	return snap.Service(e.State.Identity.Service)
+}
+
+// adoptServer takes the server's limits from the release in force.
+func (e *Egress) adoptServer() {
+	svc := e.service()
 	if svc == nil {
 		return
 	}
--- a/node/proxy/egress_exchange.go
+++ b/node/proxy/egress_exchange.go
@@ -66,6 +66,8 @@
 	if err := x.admit(ctx, m); err != nil {
 		return x.refuse(err)
 	}
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	defer x.release(admission.Result{Unmeasured: true})
 	if !e.seen.add(x.from.VM, x.call) {
 		return x.refuse(refused(peerpb.Refusal_REFUSAL_DUPLICATE, "call %x was received before", x.call.GetId()))
@@ -149,13 +151,10 @@
 func (x *exchange) send(ctx context.Context, req *fasthttp.Request) (sentRequest, error) {
 	e := x.egress
 	for fresh := false; ; fresh = true {
-		conn, restarted, err := e.pool.get(ctx, fresh)
+		conn, err := e.pool.get(ctx, fresh)
 		if err != nil {
 			return sentRequest{}, notConnected(err)
 		}
-		if restarted {
-			e.limiter.Restart(e.Now())
-		}
 		now := e.Now()
 		if e.pause.Observe(now) || !now.Before(x.deadline) || ctx.Err() != nil {
 			e.pool.put(conn)
--- a/node/proxy/egress_test.go
+++ b/node/proxy/egress_test.go
@@ -549,8 +549,8 @@
 		r := newEgressRig(s)
 		// Both idle connections went silent together.
 		r.egress.adoptServer()
-		one, _, _ := r.egress.pool.get(context.Background(), true)
-		two, _, _ := r.egress.pool.get(context.Background(), true)
+		one, _ := r.egress.pool.get(context.Background(), true)
+		two, _ := r.egress.pool.get(context.Background(), true)
 		r.egress.pool.put(one)
 		r.egress.pool.put(two)
 		call := r.call()
--- a/node/proxy/server_pool.go
+++ b/node/proxy/server_pool.go
@@ -47,6 +47,9 @@
 	now    func() time.Time
 	dialer net.Dialer
 	dials  conc.WaitGroup
+	// onRestart is called when the server accepts connections again; nil if nobody is
+	// to know.
+	onRestart func()
 
 	mu     sync.Mutex
 	idle   []*serverConn
@@ -84,15 +87,15 @@
 }
 
 // get returns a connection that was just found usable, or a new one. fresh asks for a
-// new one. restarted reports that the server accepts connections again.
-func (p *serverPool) get(ctx context.Context, fresh bool) (c *serverConn, restarted bool, err error) {
+// new one.
+func (p *serverPool) get(ctx context.Context, fresh bool) (*serverConn, error) {
 	for !fresh {
 		c := p.takeIdle()
 		if c == nil {
 			break
 		}
 		if c.usable() {
-			return c, false, nil
+			return c, nil
 		}
 		p.discard(c)
 	}
@@ -110,21 +113,30 @@
 	return c
 }
 
-func (p *serverPool) dial(ctx context.Context) (*serverConn, bool, error) {
+func (p *serverPool) dial(ctx context.Context) (*serverConn, error) {
 	if err := p.reserve(); err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.addr)
+	if restarted := p.noteDial(err); restarted && p.onRestart != nil {
+		p.onRestart()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errDialServer, err)
+	}
+	return newServerConn(conn, p.now()), nil
+}
+
+// noteDial reports whether the server accepted a connection after it had refused one.
+func (p *serverPool) noteDial(err error) (restarted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	restarted = p.down && err == nil
+	p.down = err != nil
 	if err != nil {
 		p.open--
-		p.down = true
-		return nil, false, fmt.Errorf("%w: %w", errDialServer, err)
 	}
-	restarted := p.down
-	p.down = false
-	return newServerConn(conn, p.now()), restarted, nil
+	return restarted
 }
 
 // reserve counts a connection that is about to be opened.
@@ -173,7 +185,7 @@
 		return
 	}
 	p.dials.Go(func() {
-		if c, _, err := p.dial(context.Background()); err == nil {
+		if c, err := p.dial(context.Background()); err == nil {
 			p.put(c)
 		}
 	})
--- a/node/state/fleet.go
+++ b/node/state/fleet.go
@@ -70,6 +70,16 @@
 	return f.byID[id]
 }
 
+// Published returns the VM with the given id as the platform lists it, uncorrected.
+func (f *Fleet) Published(id string) (vmlist.VM, bool) {
+	for _, vm := range f.list.VMs {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return vmlist.VM{}, false
+}
+
 // Servers returns the VMs of a service that may be alive, leaving ones included. If
 // most of a service look dead, it returns all of them.
 func (f *Fleet) Servers(service string) []*vmlist.VM {
