--- a/core/statusapi/journal.go
+++ b/core/statusapi/journal.go
@@ -47,14 +47,18 @@
 	JournalReleaseApplied  JournalKind = "release-applied"
 	JournalReleaseRefused  JournalKind = "release-refused"
 	JournalReleaseConflict JournalKind = "release-conflict"
-	JournalVMListApplied   JournalKind = "vm-list-applied"
-	JournalServerEjected   JournalKind = "server-ejected"
-	JournalServerReturned  JournalKind = "server-returned"
-	JournalDrainStep       JournalKind = "drain-step"
+	// JournalReleaseOldBase is a release that was not compiled on the one it replaces.
+	JournalReleaseOldBase JournalKind = "release-old-base"
+	JournalVMListApplied  JournalKind = "vm-list-applied"
+	JournalServerEjected  JournalKind = "server-ejected"
+	JournalServerReturned JournalKind = "server-returned"
+	JournalDrainStep      JournalKind = "drain-step"
 	// JournalPaused is a process that did not run for a while.
-	JournalPaused         JournalKind = "paused"
-	JournalReaderStarted  JournalKind = "reader-started"
-	JournalReaderStopped  JournalKind = "reader-stopped"
+	JournalPaused        JournalKind = "paused"
+	JournalReaderStarted JournalKind = "reader-started"
+	JournalReaderStopped JournalKind = "reader-stopped"
+	// JournalSourceBehind is a value of the platform that is older than what is held.
+	JournalSourceBehind   JournalKind = "source-behind"
 	JournalSourceFailed   JournalKind = "source-failed"
 	JournalSourceReturned JournalKind = "source-returned"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/netip"
@@ -34,13 +35,6 @@
 const (
 	// protocolVersion is the version of the messages between nodes.
 	protocolVersion = 1
-	// maxHeaderBytes bounds the head of a caller's request.
-	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a caller's body before the route's own limit applies.
-	maxBodyBytes = 1 << 20
-	// slowSenderTimeout bounds how long a caller may take to send a request.
-	slowSenderTimeout = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
 	// callersTimeout bounds how long requests of callers may take to end at a stop.
 	callersTimeout = 10 * time.Second
 )
@@ -58,6 +52,7 @@
 	egress   *proxy.Egress
 	drainer  *proxy.Drainer
 	callers  []*fasthttp.Server
+	router   *proxy.Router
 	listens  []net.Listener
 	shutdown []func()
 }
@@ -75,9 +70,17 @@
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
 	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
-	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
+	n.driver, err = distribution.New(n.distributionConfig(trust), platform.NewClient(platformConfig(cfg)), cmd, log)
+	if err != nil {
+		return nil, err
+	}
+	n.router = proxy.NewRouter(st, log)
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
+	if expvar.Get("distribution") == nil {
+		expvar.Publish("distribution", n.driver.Metrics())
+	}
+	reader.Extend = n.extendStatus
 	return n, nil
 }
 
@@ -126,7 +129,8 @@
 		err = n.listen(serve)
 	}
 	if err == nil {
-		tasks.Go(func() { n.driver.Run(ctx) })
+		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
+		tasks.Go(func() { n.router.Run(ctx) })
 		tasks.Go(func() { n.egress.Run(ctx) })
 		tasks.Go(func() {
 			if n.drainer.Run(ctx) {
@@ -187,17 +191,8 @@
 }
 
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
-	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Caller: caller, Log: n.log}
-	srv := &fasthttp.Server{
-		Handler:               ingress.Handle,
-		Name:                  "auburnladder",
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           slowSenderTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
+	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Router: n.router, Caller: caller, Log: n.log}
+	srv := ingress.NewServer()
 	n.callers = append(n.callers, srv)
 	return serve(name, addr, srv.Serve)
 }
@@ -230,6 +225,9 @@
 
 // ServeStream implements peers.Handler.
 func (n *Node) ServeStream(ctx context.Context, from peers.Peer, req *peerpb.Request, st *session.Stream) {
+	if n.driver.ServeStream(from.VM, req, st) {
+		return
+	}
 	if call := req.GetCall(); call != nil {
 		n.egress.ServeCall(ctx, from, call, st)
 	}
