--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"auburnladder.example/core/drain"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
@@ -28,10 +29,15 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 )
 
-// protocolVersion is the version of the messages between nodes.
-const protocolVersion = 1
+const (
+	// protocolVersion is the version of the messages between nodes.
+	protocolVersion = 1
+	// callersTimeout bounds how long requests of callers may take to end at a stop.
+	callersTimeout = 10 * time.Second
+)
 
 // Node is one running node.
 type Node struct {
@@ -44,6 +50,8 @@
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
+	drainer  *proxy.Drainer
+	callers  []*fasthttp.Server
 	router   *proxy.Router
 	listens  []net.Listener
 	shutdown []func()
@@ -70,6 +78,7 @@
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
 	}
@@ -125,6 +134,12 @@
 		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 		tasks.Go(func() { n.router.Run(ctx) })
 		tasks.Go(func() { n.egress.Run(ctx) })
+		tasks.Go(func() {
+			if n.drainer.Run(ctx) {
+				n.stopCallers()
+				cancel(nil)
+			}
+		})
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -138,6 +153,23 @@
 	return err
 }
 
+// Drain takes the server out of service for the given reason; Run returns afterwards.
+// It may be called from any goroutine while Run runs, also repeatedly.
+func (n *Node) Drain(ctx context.Context, r drain.Reason) {
+	n.drainer.Signal(ctx, r)
+}
+
+// stopCallers lets the requests of callers end and closes their connections.
+func (n *Node) stopCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	for _, srv := range n.callers {
+		if err := srv.ShutdownWithContext(ctx); err != nil {
+			n.log.Warn().Err(err).Str("event", "callers-cut").Msg("requests of callers outlived the shutdown")
+		}
+	}
+}
+
 type serveFunc func(name string, addr netip.AddrPort, run func(net.Listener) error) error
 
 func (n *Node) listen(serve serveFunc) error {
@@ -163,7 +195,7 @@
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
 	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Router: n.router, Caller: caller, Log: n.log}
 	srv := ingress.NewServer()
-	n.shutdown = append(n.shutdown, func() { _ = srv.Shutdown() })
+	n.callers = append(n.callers, srv)
 	return serve(name, addr, srv.Serve)
 }
 
@@ -171,6 +203,7 @@
 	for _, f := range n.shutdown {
 		f()
 	}
+	n.stopCallers()
 	n.peers.Close()
 	for _, l := range n.listens {
 		_ = l.Close()
