Add the measurement of calls and the choice of policy by setting

Change: bench calls latency and bench calls goodput; settings routing.policy. Ruled out: starting the nodes as processes (only tests and scripts may start any). Before: none.

--- /dev/null
+++ b/bench/calls/load.go
@@ -0,0 +1,107 @@
+package calls
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// histogramMax bounds the recorded latency, in microseconds.
+	histogramMax = int64(60 * time.Second / time.Microsecond)
+	// histogramDigits is the number of significant digits kept.
+	histogramDigits = 3
+	// histogramShards keeps recording goroutines apart.
+	histogramShards = 16
+)
+
+// load is an open-loop stream of calls: arrivals follow a Poisson process and don't
+// wait for answers.
+type load struct {
+	rate     int
+	duration time.Duration
+	seed     uint64
+	hops     int
+	direct   bool
+	// pick returns the client for the i-th call.
+	pick func(i int) *fasthttp.HostClient
+}
+
+// loadResult is what became of the calls of one load.
+type loadResult struct {
+	latency *hdrhistogram.Histogram // of answers with status 200, in microseconds
+	sent    int64
+	good    int64
+	// maxLag is how late the generator sent its latest call.
+	maxLag time.Duration
+}
+
+type shard struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+// run sends the load and waits for all answers. Latency counts from the time that a
+// call was due, so a generator that lags shows in the latency.
+func (l load) run(ctx context.Context) loadResult {
+	var shards [histogramShards]shard
+	for i := range shards {
+		shards[i].histogram = hdrhistogram.New(1, histogramMax, histogramDigits)
+	}
+	var good atomic.Int64
+	var wg conc.WaitGroup
+	result := loadResult{}
+	rnd := rand.New(rand.NewPCG(l.seed, 0))
+	begin := time.Now()
+	for due := time.Duration(0); due < l.duration && ctx.Err() == nil; {
+		waitUntil(begin.Add(due))
+		result.maxLag = max(result.maxLag, time.Since(begin)-due)
+		i := int(result.sent)
+		result.sent++
+		at := begin.Add(due)
+		wg.Go(func() {
+			status, err := send(l.pick(i), l.hops, l.direct)
+			if err != nil || status != http.StatusOK {
+				return
+			}
+			good.Add(1)
+			s := &shards[i%histogramShards]
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_ = s.histogram.RecordValue(max(1, time.Since(at).Microseconds()))
+		})
+		due += time.Duration(rnd.ExpFloat64() * float64(time.Second) / float64(l.rate))
+	}
+	wg.Wait()
+	result.good = good.Load()
+	result.latency = shards[0].histogram
+	for i := range shards[1:] {
+		result.latency.Merge(shards[i+1].histogram)
+	}
+	return result
+}
+
+// waitUntil sleeps until t; it doesn't spin, which would take a core from the nodes.
+func waitUntil(t time.Time) {
+	if d := time.Until(t); d > 0 {
+		time.Sleep(d)
+	}
+}
+
+func send(client *fasthttp.HostClient, hops int, direct bool) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	fillRequest(req, hops, direct)
+	if err := client.DoTimeout(req, resp, callTimeout); err != nil {
+		return 0, err
+	}
+	return resp.StatusCode(), nil
+}
--- /dev/null
+++ b/bench/cmd/bench/main.go
@@ -0,0 +1,20 @@
+// Command bench measures auburnladder on one machine. It isn't shipped.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("bench", "Measurements of auburnladder with small stand-ins.")
+	commands := map[string]func() error{}
+	addCalls(app, commands)
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := commands[name](); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -62,7 +62,7 @@
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
 	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
 	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
-	n.router = proxy.NewRouter(st, log)
+	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
 	return n, nil
 }
--- a/node/proxy/caller_router.go
+++ b/node/proxy/caller_router.go
@@ -9,6 +9,9 @@
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/routing/p2c"
+	"auburnladder.example/core/routing/random"
+	"auburnladder.example/core/routing/roundrobin"
+	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
 	"github.com/rs/zerolog"
 )
@@ -30,11 +33,11 @@
 	fleet    *state.Fleet
 }
 
-// NewRouter returns a router that follows st and chooses by power of two choices.
-func NewRouter(st *state.State, log zerolog.Logger) *Router {
+// NewRouter returns a router that follows st and chooses servers by policy.
+func NewRouter(st *state.State, policy settings.RoutingPolicy, log zerolog.Logger) *Router {
 	place := routing.Place{Domain: st.Identity.Domain, Region: st.Identity.Region}
 	return &Router{
-		Picker:    p2c.Picker{},
+		Picker:    picker(policy),
 		Retry:     retry.DefaultConfig(),
 		state:     st,
 		directory: routing.NewDirectory(routing.DefaultConfig(), place),
@@ -42,6 +45,17 @@
 	}
 }
 
+func picker(policy settings.RoutingPolicy) routing.Picker {
+	switch policy {
+	case settings.PolicyRandom:
+		return random.Picker{}
+	case settings.PolicyRoundRobin:
+		return roundrobin.Picker{}
+	default:
+		return p2c.Picker{}
+	}
+}
+
 // Table returns the servers of a service, or nil if none is known.
 func (r *Router) Table(service string) *routing.Table {
 	return r.directory.Table(service)
--- a/node/proxy/ingress_fake_test.go
+++ b/node/proxy/ingress_fake_test.go
@@ -17,6 +17,7 @@
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
@@ -171,7 +172,7 @@
 	st := state.New(state.Identity{VM: "vm0", Service: "programma", Domain: "a", Region: "r1"})
 	st.Install(testSnapshot(t), time.Now())
 	st.ReplaceVMs(list)
-	router := NewRouter(st, zerolog.Nop())
+	router := NewRouter(st, settings.PolicyP2C, zerolog.Nop())
 	router.Refresh(time.Now())
 	f.ingress = &Ingress{State: st, Sessions: f, Router: router, Caller: mesh.PublicCaller, Log: zerolog.Nop()}
 	f.listen()
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -36,9 +36,10 @@
 	// keygen writes it with the VM's id as the key's id; "" if none.
 	NodeKey string `yaml:"node_key"`
 	// Preset weighs convergence time against control bytes.
-	Preset Preset `yaml:"preset"`
-	Log    Log    `yaml:"log"`
-	Trace  Trace  `yaml:"trace"`
+	Preset  Preset  `yaml:"preset"`
+	Routing Routing `yaml:"routing"`
+	Log     Log     `yaml:"log"`
+	Trace   Trace   `yaml:"trace"`
 }
 
 // VM says which VM the node runs on.
@@ -76,6 +77,30 @@
 	Wait yamlcheck.Duration `yaml:"wait"`
 }
 
+// RoutingPolicy names a way to choose a backend server.
+type RoutingPolicy string
+
+// Routing policies. Random and round robin are baselines for measurements.
+const (
+	PolicyP2C        RoutingPolicy = "p2c"
+	PolicyRandom     RoutingPolicy = "random"
+	PolicyRoundRobin RoutingPolicy = "round-robin"
+)
+
+// Routing says how backend servers are chosen.
+type Routing struct {
+	Policy RoutingPolicy `yaml:"policy"`
+}
+
+// Validate checks the policy.
+func (r *Routing) Validate() []yamlcheck.Problem {
+	switch r.Policy {
+	case PolicyP2C, PolicyRandom, PolicyRoundRobin:
+		return nil
+	}
+	return []yamlcheck.Problem{{Field: "policy", Found: string(r.Policy), Expected: "p2c, random or round-robin"}}
+}
+
 // LogFormat is how log lines are written.
 type LogFormat string
 
@@ -125,9 +150,10 @@
 			Timeout: yamlcheck.Duration(defaultPlatformTimeout),
 			Wait:    yamlcheck.Duration(defaultPlatformWait),
 		},
-		Preset: PresetConvergence,
-		Log:    Log{Level: "info", Format: LogJSON},
-		Trace:  Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
+		Preset:  PresetConvergence,
+		Routing: Routing{Policy: PolicyP2C},
+		Log:     Log{Level: "info", Format: LogJSON},
+		Trace:   Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
 	}
 }
 
--- a/node/settings/template.go
+++ b/node/settings/template.go
@@ -7,7 +7,7 @@
 func Template() string {
 	d := Default()
 	return fmt.Sprintf(template,
-		d.Platform.Timeout, d.Platform.Wait, d.Preset, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
+		d.Platform.Timeout, d.Platform.Wait, d.Preset, d.Routing.Policy, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
 }
 
 const template = `# Settings of one auburnladder-node. Values under "required" have no default.
@@ -49,6 +49,10 @@
 # convergence spreads releases fastest; bytes spends the fewest control bytes.
 preset: %s
 
+routing:
+  # p2c; random and round-robin ignore load and distance and serve measurements.
+  policy: %s
+
 log:
   level: %s   # debug, info, warn, error
   format: %s  # json, console
