--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/netip"
@@ -61,9 +62,16 @@
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
 	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
-	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
+	n.driver, err = distribution.New(n.distributionConfig(trust), platform.NewClient(platformConfig(cfg)), cmd, log)
+	if err != nil {
+		return nil, err
+	}
 	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	if expvar.Get("distribution") == nil {
+		expvar.Publish("distribution", n.driver.Metrics())
+	}
+	reader.Extend = n.extendStatus
 	return n, nil
 }
 
@@ -112,8 +120,9 @@
 		err = n.listen(serve)
 	}
 	if err == nil {
-		tasks.Go(func() { n.driver.Run(ctx) })
+		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 		tasks.Go(func() { n.router.Run(ctx) })
+		tasks.Go(func() { n.egress.Run(ctx) })
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -182,8 +191,11 @@
 }
 
 // ServeStream implements peers.Handler.
-func (n *Node) ServeStream(ctx context.Context, _ peers.Peer, req *peerpb.Request, st *session.Stream) {
+func (n *Node) ServeStream(ctx context.Context, from peers.Peer, req *peerpb.Request, st *session.Stream) {
+	if n.driver.ServeStream(from.VM, req, st) {
+		return
+	}
 	if call := req.GetCall(); call != nil {
-		n.egress.ServeCall(ctx, call, st)
+		n.egress.ServeCall(ctx, from, call, st)
 	}
 }
