--- a/node/node.go
+++ b/node/node.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.router = proxy.NewRouter(st, log)
+	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
