Ask again for a VM list that was not published yet; trace the ingress

Cause: a node that started before the first VM list was published asked for it again only with the check of 30 s; found by starting ten nodes before publishing. Change: without a list the node repeats the read with the source's backoff, within its budget. Ingress and attempts leave spans; a paused ingress waits for its peers. Ruled out: a watch by every node without a list, which would exceed the platform's budget when a fleet starts against an empty platform. Conclusion: the order of starting and publishing no longer matters.

--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -270,3 +270,23 @@
 		})
 	})
 }
+
+func TestListPublishedAfterTheStart(t *testing.T) {
+	Convey("A node that found no VM list asks again within seconds", t, func() {
+		cfg := testConfig()
+		m := newMachine(t, newFixture(), cfg, fleet(1, 1)[0], 1)
+		now := time.Unix(1000, 0)
+		reads := 0
+		for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(cfg.TickInterval) {
+			for _, a := range m.Step(now, Tick{}) {
+				r, ok := a.(ReadSource)
+				if !ok || r.Key != release.VMListKey {
+					continue
+				}
+				reads++
+				m.Step(now, SourceValue{Call: r.Call, Key: r.Key})
+			}
+		}
+		So(reads, ShouldBeBetweenOrEqual, 3, 20)
+	})
+}
--- a/core/distribution/source.go
+++ b/core/distribution/source.go
@@ -315,9 +315,17 @@
 	}
 }
 
+// documentRead handles an answer for one of the two documents. A node without a VM
+// list knows no peer and no role, so it asks for the list until there is one.
 func (m *Machine) documentRead(now time.Time, e SourceValue, watch bool) {
 	d := m.source.document(e.Key)
-	d.failures, d.retryAt, d.answered = 0, time.Time{}, true
+	d.retryAt, d.answered = time.Time{}, true
+	if d == &m.source.vmList && !e.Found && m.list == nil {
+		d.failures++
+		d.readAt = now.Add(m.backoff(d.failures, m.cfg.SourceBackoffMin, m.cfg.SourceBackoffMax))
+		return
+	}
+	d.failures = 0
 	if e.Key == release.CurrentKey {
 		m.inquiry.sourceAnswered = true
 		if !watch {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
+	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/gofiber/fiber/v3"
@@ -50,6 +51,7 @@
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
+	tracer   *tracing.Tracer
 	drainer  *proxy.Drainer
 	callers  []*fasthttp.Server
 	router   *proxy.Router
@@ -78,6 +80,11 @@
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
+	if err != nil {
+		return nil, err
+	}
+	n.egress.Tracer = n.tracer
 	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
@@ -193,7 +200,15 @@
 }
 
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
-	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Router: n.router, Caller: caller, Log: n.log}
+	ingress := &proxy.Ingress{
+		State:    n.state,
+		Sessions: n.peers,
+		Router:   n.router,
+		Caller:   caller,
+		Paused:   n.driver.Paused,
+		Tracer:   n.tracer,
+		Log:      n.log,
+	}
 	srv := ingress.NewServer()
 	n.callers = append(n.callers, srv)
 	return serve(name, addr, srv.Serve)
@@ -205,6 +220,11 @@
 	}
 	n.stopCallers()
 	n.peers.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	if err := n.tracer.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Str("event", "spans-lost").Msg("spans were not exported")
+	}
 	for _, l := range n.listens {
 		_ = l.Close()
 	}
--- a/node/proxy/caller.go
+++ b/node/proxy/caller.go
@@ -54,8 +54,10 @@
 	ctx     *fasthttp.RequestCtx
 	match   *mesh.Match
 	message *peerpb.Call
-	retry   retry.Call
-	tried   []*routing.Endpoint
+	// traceparent is the trace context of the call; each attempt has one below it.
+	traceparent string
+	retry       retry.Call
+	tried       []*routing.Endpoint
 	// wait is how long all servers asked to be left alone, if none was left to try.
 	wait time.Duration
 }
--- a/node/proxy/caller_attempt.go
+++ b/node/proxy/caller_attempt.go
@@ -9,6 +9,7 @@
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 )
@@ -43,18 +44,34 @@
 	a := &attempt{call: c, endpoint: e, deadline: now.Add(c.attemptTime(now))}
 	e.Start()
 	metrics.attempts.Add(1)
+	span := c.ingress.Tracer.Start(tracing.HopAttempt, c.traceparent)
+	span.Annotate("auburnladder.vm", e.VM)
+	c.message.Traceparent = span.Traceparent()
+	a.run()
+	span.End(a.verdict(), a.err)
+	return a
+}
+
+// verdict says whether this attempt may have run.
+func (a *attempt) verdict() verdict.Verdict {
+	if a.err == nil {
+		return verdict.Ran
+	}
+	return verdict.Of(a.err)
+}
+
+func (a *attempt) run() {
 	if err := a.open(); err != nil {
 		a.err = verdict.Wrap(verdict.NotRun, err)
 		a.outcome.Kind = routing.Unreachable
-		return a
+		return
 	}
 	if err := a.exchange(); err != nil {
 		a.err = verdict.Wrap(verdict.MayHaveRun, a.cause(err))
 		a.outcome.Kind = failureKind(a.err)
-		return a
+		return
 	}
 	a.judge()
-	return a
 }
 
 // open gets a stream to the server's node. No byte of the request is sent.
--- a/node/proxy/ingress.go
+++ b/node/proxy/ingress.go
@@ -9,6 +9,7 @@
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/node/state"
+	"auburnladder.example/node/tracing"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 )
@@ -21,13 +22,17 @@
 	// Caller is the identity of everyone who reaches this listener: the public
 	// caller class, or the service beside the node.
 	Caller string
+	// Paused reports whether the process has just been paused for so long that its
+	// configuration may be old; nil if that is never so.
+	Paused func(now time.Time) bool
+	Tracer *tracing.Tracer
 	Log    zerolog.Logger
 }
 
 // Handle serves one request. The request keeps the snapshot that it began with.
 func (g *Ingress) Handle(ctx *fasthttp.RequestCtx) {
 	snap := g.State.Snapshot()
-	if snap == nil || g.State.Resyncing() {
+	if snap == nil || g.outdated() {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, "this node holds no current release yet")
 		return
 	}
@@ -47,6 +52,11 @@
 	g.forward(ctx, snap, m)
 }
 
+// outdated reports whether peers must be asked for newer configuration first.
+func (g *Ingress) outdated() bool {
+	return g.State.Resyncing() || g.Paused != nil && g.Paused(time.Now())
+}
+
 func (g *Ingress) forward(ctx *fasthttp.RequestCtx, snap *mesh.Snapshot, m *mesh.Match) {
 	deadline := time.Now().Add(m.Route.Deadline.Duration())
 	c := call{
@@ -56,11 +66,16 @@
 		message: newCallMessage(ctx, snap, m, g.Caller),
 		retry:   retry.NewCall(&g.Router.Retry, m.Route, g.Router.Budget(m.Target.Name), deadline),
 	}
+	span := g.Tracer.Start(tracing.HopIngress, c.message.GetTraceparent())
+	span.Annotate("auburnladder.route", m.Route.Name)
+	c.traceparent = span.Traceparent()
 	a, err := c.run()
 	if err != nil {
+		span.End(verdict.Of(err), err)
 		g.fail(ctx, &c, err)
 		return
 	}
+	span.End(verdict.Ran, nil)
 	metrics.answered.Add(1)
 	writeReply(ctx, a)
 }
