--- /dev/null
+++ b/bench/distribution/fleet.go
@@ -0,0 +1,254 @@
+package distribution
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/command"
+	"auburnladder.example/node/distribution"
+	"auburnladder.example/node/peers"
+	"auburnladder.example/node/platform"
+	"auburnladder.example/node/state"
+	source "auburnladder.example/standin/platform"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+)
+
+// member is one node: a driver with its sessions, without the request path.
+type member struct {
+	vm     vmlist.VM
+	state  *state.State
+	driver *distribution.Driver
+}
+
+// ServeStream implements peers.Handler.
+func (m *member) ServeStream(_ context.Context, from peers.Peer, req *peerpb.Request, st *session.Stream) {
+	m.driver.ServeStream(from.VM, req, st)
+}
+
+// fleet is all nodes and the platform in one process.
+type fleet struct {
+	spec    Spec
+	net     *network
+	content *content
+	source  *source.Server
+	// gates separate the domains from the platform.
+	gates   map[string]*gate
+	urls    map[string]string
+	members []*member
+	// least is the size of the changes in the last release.
+	least  int
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+}
+
+// gate is the platform as one failure domain reaches it.
+type gate struct {
+	next   http.Handler
+	closed atomic.Bool
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.closed.Load() {
+		<-r.Context().Done()
+		return
+	}
+	g.next.ServeHTTP(w, r)
+}
+
+func newFleet(s Spec) (*fleet, error) {
+	c, err := newContent(s.Services)
+	if err != nil {
+		return nil, err
+	}
+	limits := source.DefaultConfig()
+	f := &fleet{
+		spec: s, net: newNetwork(s.Seed), content: c, source: source.New(limits),
+		gates: make(map[string]*gate), urls: make(map[string]string),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	for d := range s.Domains {
+		if err := f.openGate(domainName(d)); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func domainName(d int) string { return fmt.Sprintf("d%d", d) }
+
+func (f *fleet) openGate(domain string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	g := &gate{next: f.source.Handler()}
+	f.gates[domain] = g
+	f.urls[domain] = "http://" + l.Addr().String()
+	server := &http.Server{Handler: g, ReadHeaderTimeout: 5 * time.Second}
+	f.tasks.Go(func() { _ = server.Serve(l) })
+	context.AfterFunc(f.ctx, func() { _ = server.Close() })
+	return nil
+}
+
+// start opens all listeners, publishes the VM list and runs all drivers.
+func (f *fleet) start() error {
+	listeners := make([]net.Listener, f.spec.Nodes)
+	vms := make([]vmlist.VM, f.spec.Nodes)
+	for i := range vms {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		domain := i % f.spec.Domains
+		listeners[i] = l
+		vms[i] = vmlist.VM{
+			ID: fmt.Sprintf("vm-%04d", i), Service: serviceName(i % f.spec.Services), Domain: domainName(domain),
+			Region: fmt.Sprintf("r%d", domain/3), Peer: l.Addr().(*net.TCPAddr).AddrPort(),
+		}
+		f.net.add(vms[i])
+	}
+	list := vmlist.List{VMs: vms}
+	data, err := list.Encode()
+	if err != nil {
+		return err
+	}
+	if err := f.put(release.VMListKey, data); err != nil {
+		return err
+	}
+	for i, vm := range vms {
+		m, err := f.run(vm, listeners[i])
+		if err != nil {
+			return err
+		}
+		f.members = append(f.members, m)
+	}
+	return nil
+}
+
+func (f *fleet) client(vm vmlist.VM) *platform.Client {
+	return platform.NewClient(platform.Config{
+		BaseURLs: []string{f.urls[vm.Domain]}, Timeout: 2 * time.Second, Wait: 30 * time.Second,
+	})
+}
+
+func (f *fleet) run(vm vmlist.VM, l net.Listener) (*member, error) {
+	log := zerolog.Nop()
+	m := &member{vm: vm, state: state.New(state.Identity{VM: vm.ID, Service: vm.Service, Domain: vm.Domain, Region: vm.Region})}
+	cmd := &command.Commander{State: m.state, Log: log, Now: time.Now}
+	cfg := distribution.Config{Machine: f.spec.machine(), Self: vm, Trust: f.content.trust}
+	var err error
+	if m.driver, err = distribution.New(cfg, f.client(vm), cmd, log); err != nil {
+		return nil, err
+	}
+	hello := func() *peerpb.Hello { return &peerpb.Hello{Vm: vm.ID, Service: vm.Service, Domain: vm.Domain} }
+	sessions := peers.DefaultConfig()
+	sessions.Transport = transport{net: f.net, self: vm}
+	set := peers.New(f.ctx, sessions, hello, m, log)
+	f.tasks.Go(func() { _ = set.Serve(l) })
+	f.tasks.Go(func() {
+		m.driver.Run(f.ctx, set)
+		set.Close()
+	})
+	return m, nil
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.tasks.Wait()
+}
+
+// admin makes a call to the publishing side of the platform.
+func (f *fleet) admin(method, path string, body []byte) ([]byte, error) {
+	r := httptest.NewRequest(method, path, bytes.NewReader(body))
+	w := httptest.NewRecorder()
+	f.source.Handler().ServeHTTP(w, r)
+	if w.Code >= http.StatusBadRequest {
+		return nil, fmt.Errorf("%s %s: status %d", method, path, w.Code)
+	}
+	return w.Body.Bytes(), nil
+}
+
+func (f *fleet) put(key string, value []byte) error {
+	_, err := f.admin(http.MethodPut, "/admin/kv/"+key, value)
+	return err
+}
+
+// stats returns what the platform counted.
+func (f *fleet) stats() (source.Stats, error) {
+	var s source.Stats
+	data, err := f.admin(http.MethodGet, "/admin/stats", nil)
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(data, &s)
+}
+
+// publish writes a release with one more changed chunk, the chunk before the manifest.
+func (f *fleet) publish() (release.Version, time.Time, error) {
+	p, err := f.content.next()
+	if err != nil {
+		return release.Version{}, time.Time{}, err
+	}
+	for d, chunk := range p.chunks {
+		if err := f.put(release.ChunkKey(d), chunk); err != nil {
+			return release.Version{}, time.Time{}, err
+		}
+	}
+	f.least = p.least
+	at := time.Now()
+	return p.version, at, f.put(release.CurrentKey, p.value)
+}
+
+// converge waits until all nodes serve v. It returns for each node the time since at.
+func (f *fleet) converge(v release.Version, at time.Time) ([]time.Duration, error) {
+	const limit = 2 * time.Minute
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if took := f.taken(v, at); took != nil {
+			return took, nil
+		}
+	}
+	return nil, errors.New("no convergence within the limit")
+}
+
+func (f *fleet) taken(v release.Version, at time.Time) []time.Duration {
+	took := make([]time.Duration, 0, len(f.members))
+	for _, m := range f.members {
+		held := m.state.Held()
+		if held == nil || held.Snapshot.Version != v {
+			return nil
+		}
+		took = append(took, held.Since.Sub(at))
+	}
+	return took
+}
+
+// ready waits until all nodes hold the VM list and sessions to peers.
+func (f *fleet) ready() error {
+	const limit = 2 * time.Minute
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		waiting := 0
+		for _, m := range f.members {
+			if s := m.driver.Status(); s.Versions.VMList == 0 || s.Peers < min(2, len(f.members)-1) {
+				waiting++
+			}
+		}
+		if waiting == 0 {
+			return nil
+		}
+	}
+	return errors.New("nodes did not connect within the limit")
+}
