--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -1,4 +1,4 @@
-// Command bench measures parts of auburnladder on one machine. It is not shipped.
+// Command bench measures auburnladder on one machine. It isn't shipped.
 package main
 
 import (
@@ -10,11 +10,13 @@
 )
 
 func main() {
-	app := kingpin.New("bench", "Measures parts of auburnladder on one machine.")
-	app.HelpFlag.Short('h')
-	distribution.Register(app)
-	if _, err := app.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintf(os.Stderr, "bench: %v\n", err)
+	app := kingpin.New("bench", "Measurements of auburnladder with small stand-ins.")
+	commands := map[string]func() error{}
+	addCalls(app, commands)
+	distribution.Register(app, commands)
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := commands[name](); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
 }
--- a/bench/distribution/command.go
+++ b/bench/distribution/command.go
@@ -33,8 +33,8 @@
 	Watch bool
 }
 
-// Register adds the command to the command line.
-func Register(app *kingpin.Application) {
+// Register adds the command to the command line and its function to commands.
+func Register(app *kingpin.Application, commands map[string]func() error) {
 	var s Spec
 	c := app.Command("distribution", "Convergence time, control bytes, CPU and memory of the spread of releases.")
 	c.Flag("nodes", "Number of nodes.").Default("14").IntVar(&s.Nodes)
@@ -48,12 +48,12 @@
 	c.Flag("cut", "Also cut one domain off during a release and heal it.").BoolVar(&s.Cut)
 	c.Flag("watch", "Measure the baseline in which every node watches the platform.").BoolVar(&s.Watch)
 	header := c.Flag("header", "Print the head of the table first.").Bool()
-	c.Action(func(*kingpin.ParseContext) error {
+	commands[c.FullCommand()] = func() error {
 		if *header {
 			printHeader()
 		}
 		return run(s)
-	})
+	}
 }
 
 func run(s Spec) error {
--- a/core/distribution/fetch.go
+++ b/core/distribution/fetch.go
@@ -145,11 +145,12 @@
 	if e.Delta != nil {
 		approved = m.rebuild(e.Delta)
 	}
-	if approved == nil || !m.admit(approved, e.Peer) {
+	if approved == nil {
 		m.endFetch(e.Fetch, false)
 		return
 	}
-	if m.fetch != nil && m.fetch.manifest && m.fetch.version == claimedVersion(approved) {
+	v := m.admit(approved, e.Peer)
+	if v != nil && m.fetch != nil && m.fetch.manifest && m.fetch.version == v.Version {
 		// A late answer to an earlier request serves as well.
 		m.fetch = nil
 	}
--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -16,7 +16,9 @@
 	// Approved is the manifest with its approvals, nil in a snapshot for checks only.
 	Approved *release.Approved
 	services map[string]*Service
-	hosts    map[string][]*Match
+	// digests holds the digest of each service's chunk by the service's name.
+	digests map[string]release.Digest
+	hosts   map[string][]*Match
 }
 
 // Match is a route together with everything that a call through it needs.
@@ -44,19 +46,30 @@
 // Build decodes and validates every chunk of v and resolves every reference. It
 // returns a complete snapshot or an error, never a part.
 func Build(v *release.Verified, chunks ChunkSource) (*Snapshot, error) {
+	return Rebuild(nil, v, chunks)
+}
+
+// Rebuild does what Build does and takes services whose chunks did not change over from
+// an earlier snapshot, which may be nil. References are always resolved anew.
+func Rebuild(earlier *Snapshot, v *release.Verified, chunks ChunkSource) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:  v.Version,
 		KeyID:    v.KeyID,
 		Approved: v.Approved,
 		services: make(map[string]*Service, len(v.Manifest.Chunks)),
+		digests:  make(map[string]release.Digest, len(v.Manifest.Chunks)),
 		hosts:    make(map[string][]*Match),
 	}
 	for _, ref := range v.Manifest.Chunks {
-		svc, err := loadService(ref, chunks)
-		if err != nil {
-			return nil, err
+		svc := earlier.unchanged(ref)
+		if svc == nil {
+			var err error
+			if svc, err = loadService(ref, chunks); err != nil {
+				return nil, err
+			}
 		}
 		s.services[svc.Name] = svc
+		s.digests[svc.Name] = ref.Digest
 	}
 	for _, ref := range v.Manifest.Chunks {
 		if err := s.link(s.services[ref.Name]); err != nil {
@@ -71,6 +84,14 @@
 	return s, nil
 }
 
+// unchanged returns the service that was decoded from the same chunk, or nil.
+func (s *Snapshot) unchanged(ref release.ChunkRef) *Service {
+	if s == nil || s.digests[ref.Name] != ref.Digest {
+		return nil
+	}
+	return s.services[ref.Name]
+}
+
 func loadService(ref release.ChunkRef, chunks ChunkSource) (*Service, error) {
 	data, found := chunks(ref.Digest)
 	if !found {
@@ -149,9 +170,10 @@
 	return all
 }
 
-// MatchRoute returns the route with the longest matching prefix, or nil.
+// MatchRoute returns the route with the longest matching prefix, or nil. A port in
+// host and its case do not matter.
 func (s *Snapshot) MatchRoute(host, method, path string) *Match {
-	for _, m := range s.hosts[host] {
+	for _, m := range s.hosts[hostName(host)] {
 		if hasPathPrefix(path, m.Route.Prefix) && slices.Contains(m.Route.Methods, method) {
 			return m
 		}
@@ -164,6 +186,12 @@
 	return slices.Contains(s.Callers, caller)
 }
 
+// hostName returns the name in an HTTP authority, in lower case.
+func hostName(authority string) string {
+	name, _, _ := strings.Cut(authority, ":")
+	return strings.ToLower(name)
+}
+
 func hasPathPrefix(path, prefix string) bool {
 	if !strings.HasPrefix(path, prefix) {
 		return false
--- a/node/distribution/driver_test.go
+++ b/node/distribution/driver_test.go
@@ -155,8 +155,11 @@
 	So(err, ShouldBeNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	hello := func() *peerpb.Hello { return &peerpb.Hello{Vm: vm.ID, Service: vm.Service, Domain: vm.Domain} }
-	sessions := session.Config{ProbeInterval: 200 * time.Millisecond, ProbeTimeout: 500 * time.Millisecond, Backlog: 64}
-	set := peers.New(ctx, peers.Config{Transport: m, Session: sessions, MaxIdle: time.Minute}, hello, m, log)
+	sessions := peers.DefaultConfig()
+	sessions.Transport = m
+	sessions.Session.ProbeInterval = 200 * time.Millisecond
+	sessions.Session.ProbeTimeout = 500 * time.Millisecond
+	set := peers.New(ctx, sessions, hello, m, log)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { _ = set.Serve(l) })
 	tasks.Go(func() { m.driver.Run(ctx, set) })
@@ -192,9 +195,8 @@
 
 // Dial implements peers.Transport. Its connections become silent for good once silent
 // was set; later ones work.
-func (m *member) Dial(ctx context.Context, _ string, addr netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+func (m *member) Dial(ctx context.Context, vm string, addr netip.AddrPort) (net.Conn, error) {
+	conn, err := peers.TCP{}.Dial(ctx, vm, addr)
 	if err != nil || m.silent.Load() {
 		return conn, err
 	}
@@ -202,8 +204,8 @@
 }
 
 // Accept implements peers.Transport.
-func (m *member) Accept(_ context.Context, conn net.Conn) (net.Conn, string, error) {
-	return conn, "", nil
+func (m *member) Accept(ctx context.Context, conn net.Conn) (net.Conn, string, error) {
+	return peers.TCP{}.Accept(ctx, conn)
 }
 
 func (f *fleet) publish(sequence uint64, salt int) release.Version {
--- a/node/query/query.go
+++ b/node/query/query.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"auburnladder.example/core/evidence"
+	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
-	"auburnladder.example/core/routing"
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/state"
 )
@@ -28,9 +28,8 @@
 	Journal *Journal
 	// Key signs evidence; nil if the settings give none.
 	Key *release.SigningKey
-	// Directory holds what the node knows about servers; nil if only the VM list is
-	// known.
-	Directory *routing.Directory
+	// Tables holds what the node learned about servers from calls; nil if nothing.
+	Tables Tables
 	// Extend adds what other parts of the node know to a status; nil if nothing.
 	Extend func(*statusapi.Status)
 }
@@ -52,6 +51,7 @@
 		Conflicts:      r.Journal.conflicts(),
 		Drain:          r.drain(),
 		Server:         statusapi.ServerUnknown,
+		Peers:          r.peers(fleet),
 		VMs:            fleet.VMs,
 	}
 	if held := r.State.Held(); held != nil {
@@ -87,15 +87,27 @@
 	if snap == nil {
 		return statusapi.Config{}, ErrNoRelease
 	}
+	approved, err := encodeApproved(snap)
+	if err != nil {
+		return statusapi.Config{}, err
+	}
 	return statusapi.Config{
 		APIVersion: statusapi.APIVersion,
 		VM:         r.State.Identity.VM,
 		Held:       snap.Version,
 		KeyID:      snap.KeyID,
 		Services:   snap.Services(),
+		Approved:   approved,
 	}, nil
 }
 
+func encodeApproved(snap *mesh.Snapshot) ([]byte, error) {
+	if snap.Approved == nil {
+		return nil, nil
+	}
+	return snap.Approved.Encode()
+}
+
 // JournalSince returns the journal's entries with a number above after.
 func (r *Reader) JournalSince(after uint64) statusapi.Journal {
 	entries, dropped := r.Journal.Since(after)
@@ -138,8 +150,6 @@
 	if s.Chunks, err = evidence.ChunksOf(held.Snapshot); err != nil {
 		return err
 	}
-	if held.Snapshot.Approved != nil {
-		s.Approved, err = held.Snapshot.Approved.Encode()
-	}
+	s.Approved, err = encodeApproved(held.Snapshot)
 	return err
 }
