--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"auburnladder.example/bench/distribution"
 	"github.com/alecthomas/kingpin/v2"
 )
 
@@ -12,6 +13,7 @@
 	app := kingpin.New("bench", "Measurements of auburnladder with small stand-ins.")
 	commands := map[string]func() error{}
 	addCalls(app, commands)
+	distribution.Register(app, commands)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := commands[name](); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- a/core/distribution/source.go
+++ b/core/distribution/source.go
@@ -366,10 +366,11 @@
 		m.refuse(release.Version{}, release.DigestOf(e.Value), "", err)
 		return
 	}
-	if !m.admit(approved, "") {
+	verified := m.admit(approved, "")
+	if verified == nil {
 		return
 	}
-	v := claimedVersion(approved)
+	v := verified.Version
 	if m.held != nil && m.held.Version.Newer(v) && s.behind != v {
 		s.behind = v
 		m.emit(Report{Kind: ReportSourceBehind, Version: v, Other: m.held.Version, Reason: "the platform holds an older release"})
--- a/core/distribution/trace_test.go
+++ b/core/distribution/trace_test.go
@@ -46,8 +46,18 @@
 var eventTypes = func() map[string]reflect.Type {
 	types := make(map[string]reflect.Type)
 	for _, ev := range []Event{
-		Tick{}, ViewChanged{}, PeerUp{}, PeerDown{}, PeerUnreachable{}, PeerVersions{}, ManifestReceived{},
-		ChunksReceived{}, VMListReceived{}, FetchFailed{}, SourceValue{}, SourceFailed{},
+		Tick{},
+		ViewChanged{},
+		PeerUp{},
+		PeerDown{},
+		PeerUnreachable{},
+		PeerVersions{},
+		ManifestReceived{},
+		ChunksReceived{},
+		VMListReceived{},
+		FetchFailed{},
+		SourceValue{},
+		SourceFailed{},
 	} {
 		types[reflect.TypeOf(ev).Name()] = reflect.TypeOf(ev)
 	}
