--- a/cli/query/audit.go
+++ b/cli/query/audit.go
@@ -36,10 +36,13 @@
 	if err != nil {
 		return err
 	}
-	client := f.fleet.client()
-	if plan.VMs, err = f.fleet.list(client); err != nil {
+	client := f.fleet.client(c)
+	list, err := f.fleet.list(client)
+	if err != nil {
 		return err
 	}
+	plan.VMs = list.vms
+	plan.ListSource = list.name
 	report := audit.Run(client, plan, c.Now())
 	if err := f.write(c, &report); err != nil {
 		return err
@@ -79,7 +82,6 @@
 		ApprovalKeyID: snapshot.KeyID,
 		Trust:         trust,
 		NodeKeys:      keys,
-		ListSource:    f.fleet.source(),
 	}, nil
 }
 
@@ -110,7 +112,11 @@
 		if !f.Compliant {
 			outcome = "NOT COMPLIANT: " + f.Reason
 		}
-		t.row(f.VM, f.Service, f.Domain, f.Held.String(), outcome)
+		held := "-"
+		if !f.Held.IsZero() {
+			held = f.Held.String()
+		}
+		t.row(f.VM, f.Service, f.Domain, held, outcome)
 	}
 	if err := t.flush(); err != nil {
 		return err
--- a/core/distribution/machine.go
+++ b/core/distribution/machine.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"time"
 
+	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/vmlist"
 )
@@ -55,7 +56,8 @@
 
 	// held is the release in force, nil before the first one. Only apply changes it,
 	// and only to a newer one.
-	held *release.Verified
+	held     *release.Verified
+	snapshot *mesh.Snapshot
 	// history holds the newest manifests that were in force, oldest first.
 	history    []*release.Verified
 	chunks     chunkStore
@@ -144,6 +146,8 @@
 		m.peerUp(e.Peer)
 	case PeerDown:
 		m.peerDown(e.Peer)
+	case PeerUnreachable:
+		m.peerUnreachable(e.Peer)
 	case PeerVersions:
 		m.peerVersions(e)
 	case ManifestReceived:
--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -88,6 +88,21 @@
 		So(applied, ShouldBeFalse)
 		ask, _ := find[FetchManifest](actions)
 		So(ask.Wanted, ShouldResemble, b.version)
+
+		Convey("and does not fall back to the older one while a peer claims the newer, until the bound", func() {
+			m.Step(epoch.Add(time.Millisecond), FetchFailed{Fetch: ask.Fetch, Peer: ask.Peer})
+			at := epoch
+			for ; at.Before(epoch.Add(m.cfg.StartAloneWait)); at = at.Add(m.cfg.TickInterval) {
+				_, applied = find[Apply](m.Step(at, Tick{}))
+				So(applied, ShouldBeFalse)
+			}
+			var apply Apply
+			for end := at.Add(2 * time.Second); !applied && at.Before(end); at = at.Add(m.cfg.TickInterval) {
+				apply, applied = find[Apply](m.Step(at, Tick{}))
+			}
+			So(applied, ShouldBeTrue)
+			So(apply.Snapshot.Version, ShouldResemble, old.version)
+		})
 	})
 }
 
@@ -255,3 +270,23 @@
 		})
 	})
 }
+
+func TestListPublishedAfterTheStart(t *testing.T) {
+	Convey("A node that found no VM list asks again within seconds", t, func() {
+		cfg := testConfig()
+		m := newMachine(t, newFixture(), cfg, fleet(1, 1)[0], 1)
+		now := time.Unix(1000, 0)
+		reads := 0
+		for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(cfg.TickInterval) {
+			for _, a := range m.Step(now, Tick{}) {
+				r, ok := a.(ReadSource)
+				if !ok || r.Key != release.VMListKey {
+					continue
+				}
+				reads++
+				m.Step(now, SourceValue{Call: r.Call, Key: r.Key})
+			}
+		}
+		So(reads, ShouldBeBetweenOrEqual, 3, 20)
+	})
+}
--- a/core/statusapi/statusapi.go
+++ b/core/statusapi/statusapi.go
@@ -17,6 +17,11 @@
 const (
 	// StatusPath answers with a Status.
 	StatusPath = "/v1/status"
+	// BriefStatusPath answers with a Status without VMs and Peers, whose size grows
+	// with the fleet.
+	BriefStatusPath = StatusPath + "?" + BriefParameter + "=true"
+	// BriefParameter is the query parameter of BriefStatusPath.
+	BriefParameter = "brief"
 	// HealthPath answers with status 200 while the process works.
 	HealthPath = "/healthz"
 	// ReadyPath answers with status 200 while the node serves callers, else 503.
@@ -40,16 +45,20 @@
 	Now time.Time `json:"now"`
 	// Reader reports whether the node holds a watch on the platform's service.
 	Reader bool `json:"reader"`
+	// SourceFailing reports that the platform gave no answer to the last calls of this
+	// node. Only readers call it all the time.
+	SourceFailing bool `json:"source_failing"`
 	// VMListRevision is the revision of the VM list that the node holds.
 	VMListRevision uint64 `json:"vm_list_revision"`
 	// Refused lists the releases that the node did not put in force, newest first.
 	Refused []RefusedRelease `json:"refused,omitempty"`
 	// Conflicts lists pairs of different releases with one sequence number.
-	Conflicts []Conflict   `json:"conflicts,omitempty"`
-	Peers     []PeerStatus `json:"peers,omitempty"`
-	Drain     DrainState   `json:"drain"`
-	Server    ServerState  `json:"server"`
-	// VMs is the VM list that the node holds.
+	Conflicts []Conflict `json:"conflicts,omitempty"`
+	// Peers is left out of a brief answer.
+	Peers  []PeerStatus `json:"peers,omitempty"`
+	Drain  DrainState   `json:"drain"`
+	Server ServerState  `json:"server"`
+	// VMs is the VM list that the node holds, left out of a brief answer.
 	VMs []vmlist.VM `json:"vms,omitempty"`
 }
 
@@ -98,10 +107,4 @@
 	VM string `json:"vm"`
 	// State is the peer's membership state: alive, suspect, dead or leaving.
 	State string `json:"state"`
-	// Held is the release that the peer last announced.
-	Held release.Version `json:"held"`
-	// SeenAt is when the peer was last heard of, by the clock of this node.
-	SeenAt time.Time `json:"seen_at,omitzero"`
-	// Connected reports whether a session to the peer is open.
-	Connected bool `json:"connected"`
 }
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"auburnladder.example/core/distribution"
+	"auburnladder.example/core/membership"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
@@ -20,12 +22,20 @@
 type Commander struct {
 	State *state.State
 	Log   zerolog.Logger
+	// Members learns each VM list that was put in use; nil if none does.
+	Members Members
 	// Journal records what was changed; nil if none is kept.
 	Journal Journal
 	// Now returns the time that is recorded with a change.
 	Now func() time.Time
 }
 
+// Members probes the VMs of a list.
+type Members interface {
+	ReplaceList(list *vmlist.List)
+	SetLeaving(leaving bool)
+}
+
 // Journal records events for operators.
 type Journal interface {
 	Record(e statusapi.JournalEntry)
@@ -75,6 +85,60 @@
 	c.record(entry)
 }
 
+// NoteConflict records two different releases with one sequence number. Every node
+// keeps the same one.
+func (c *Commander) NoteConflict(kept, dropped release.Version) {
+	c.Log.Warn().Str("event", "release-conflict").
+		Stringer("release", kept).
+		Stringer("other", dropped).
+		Msg("two releases have one sequence number")
+	c.record(statusapi.JournalEntry{
+		Kind:    statusapi.JournalReleaseConflict,
+		Cause:   "two releases have one sequence number",
+		Release: kept,
+		Other:   dropped,
+	})
+}
+
+// NotePause records that the process did not run for a while.
+func (c *Commander) NotePause(reason string) {
+	c.Log.Warn().Str("event", "paused").Msg(reason)
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalPaused, Cause: reason})
+}
+
+// NoteSourceFailed records that the platform stopped answering this node.
+func (c *Commander) NoteSourceFailed(err error) {
+	c.Log.Warn().Str("event", "source-failed").Err(err).Msg("platform does not answer; releases come from peers")
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalSourceFailed, Cause: err.Error()})
+}
+
+// NoteSourceReturned records that the platform answers this node again.
+func (c *Commander) NoteSourceReturned() {
+	c.Log.Info().Str("event", "source-returned").Msg("platform answers again")
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalSourceReturned})
+}
+
+// distributionKinds maps reports of the distribution to kinds of journal entries.
+var distributionKinds = map[distribution.ReportKind]statusapi.JournalKind{
+	distribution.ReportStartedAlone: statusapi.JournalStartedAlone,
+	distribution.ReportWithdrawn:    statusapi.JournalSourceBehind,
+	distribution.ReportSourceBehind: statusapi.JournalSourceBehind,
+	distribution.ReportOldBase:      statusapi.JournalReleaseOldBase,
+	distribution.ReportIncomplete:   statusapi.JournalReleaseRefused,
+}
+
+// NoteDistribution records a report of the distribution that changed nothing.
+func (c *Commander) NoteDistribution(r distribution.Report) {
+	c.Log.Warn().Str("event", string(r.Kind)).
+		Stringer("release", r.Version).
+		Stringer("other", r.Other).
+		Str("field", r.Field).
+		Msg(r.Reason)
+	if kind, known := distributionKinds[r.Kind]; known {
+		c.record(statusapi.JournalEntry{Kind: kind, Cause: r.Reason, Release: r.Version, Other: r.Other, Service: r.Service, Field: r.Field})
+	}
+}
+
 // ApplyVMList replaces the VM list by one of a higher revision.
 func (c *Commander) ApplyVMList(list *vmlist.List) bool {
 	changed := c.State.ReplaceVMs(list)
@@ -87,6 +151,27 @@
 			Kind:  statusapi.JournalVMListApplied,
 			Cause: fmt.Sprintf("revision %d with %d VMs", list.Revision, len(list.VMs)),
 		})
+		if c.Members != nil {
+			c.Members.ReplaceList(list)
+		}
 	}
 	return changed
 }
+
+// ApplyView corrects the VM list by what probing found.
+func (c *Commander) ApplyView(view *membership.View) {
+	c.State.ReplaceView(view)
+}
+
+// SetLeaving takes the node out of service or back, and tells the other members.
+func (c *Commander) SetLeaving(leaving bool, cause string) {
+	c.State.SetLeaving(leaving)
+	if c.Members != nil {
+		c.Members.SetLeaving(leaving)
+	}
+	step := "takes no new work: "
+	if !leaving {
+		step = "takes new work again: "
+	}
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalDrainStep, Cause: step + cause})
+}
--- /dev/null
+++ b/node/configuration.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	core "auburnladder.example/core/distribution"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/statusapi"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/distribution"
+	"auburnladder.example/node/settings"
+)
+
+// distributionConfig returns the preset with the platform's limits from the settings.
+func (n *Node) distributionConfig(trust *release.Trust) distribution.Config {
+	machine := core.Convergence()
+	if n.cfg.Preset == settings.PresetBytes {
+		machine = core.Bytes()
+	}
+	machine.SourceTimeout = n.cfg.Platform.Timeout.Std()
+	machine.WatchWait = n.cfg.Platform.Wait.Std()
+	vm := n.cfg.VM
+	self := vmlist.VM{ID: vm.ID, Service: vm.Service, Domain: vm.Domain, Region: vm.Region, Peer: n.cfg.Listen.Peer}
+	return distribution.Config{Machine: machine, Self: self, Trust: trust}
+}
+
+// extendStatus adds the node's part in the distribution.
+func (n *Node) extendStatus(s *statusapi.Status) {
+	s.Reader = n.driver.Status().Reader
+	s.SourceFailing = n.driver.SourceFailing()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/netip"
 	"time"
 
+	"auburnladder.example/core/drain"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
@@ -17,10 +19,12 @@
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/platform"
+	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
+	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/gofiber/fiber/v3"
@@ -32,13 +36,8 @@
 const (
 	// protocolVersion is the version of the messages between nodes.
 	protocolVersion = 1
-	// maxHeaderBytes bounds the head of a caller's request.
-	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a caller's body before the route's own limit applies.
-	maxBodyBytes = 1 << 20
-	// slowSenderTimeout bounds how long a caller may take to send a request.
-	slowSenderTimeout = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
+	// callersTimeout bounds how long requests of callers may take to end at a stop.
+	callersTimeout = 10 * time.Second
 )
 
 // Node is one running node.
@@ -47,9 +46,15 @@
 	log      zerolog.Logger
 	state    *state.State
 	reader   *query.Reader
+	command  *command.Commander
+	prober   *probe.Prober
 	peers    *peers.Set
 	driver   *distribution.Driver
 	egress   *proxy.Egress
+	tracer   *tracing.Tracer
+	drainer  *proxy.Drainer
+	callers  []*fasthttp.Server
+	router   *proxy.Router
 	listens  []net.Listener
 	shutdown []func()
 }
@@ -66,9 +71,25 @@
 		return nil, err
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
-	n := &Node{cfg: cfg, log: log, state: st, reader: reader}
-	n.driver = &distribution.Driver{Platform: platform.NewClient(platformConfig(cfg)), Trust: trust, Command: cmd, Log: log}
+	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
+	n.driver, err = distribution.New(n.distributionConfig(trust), platform.NewClient(platformConfig(cfg)), cmd, log)
+	if err != nil {
+		return nil, err
+	}
+	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
+	n.router.Journal = reader.Journal
+	reader.Tables = n.router
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
+	if err != nil {
+		return nil, err
+	}
+	n.egress.Tracer = n.tracer
+	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
+	if expvar.Get("distribution") == nil {
+		expvar.Publish("distribution", n.driver.Metrics())
+	}
+	reader.Extend = n.extendStatus
 	return n, nil
 }
 
@@ -111,9 +132,21 @@
 		})
 		return nil
 	}
-	err := n.listen(serve)
+	err := n.startProber()
+	if err == nil {
+		tasks.Go(func() { n.prober.Run(ctx) })
+		err = n.listen(serve)
+	}
 	if err == nil {
-		tasks.Go(func() { n.driver.Run(ctx) })
+		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
+		tasks.Go(func() { n.router.Run(ctx) })
+		tasks.Go(func() { n.egress.Run(ctx) })
+		tasks.Go(func() {
+			if n.drainer.Run(ctx) {
+				n.stopCallers()
+				cancel(nil)
+			}
+		})
 		n.log.Info().Str("event", "started").Msg("node started")
 		<-ctx.Done()
 		err = context.Cause(ctx)
@@ -127,6 +160,23 @@
 	return err
 }
 
+// Drain takes the server out of service for the given reason; Run returns afterwards.
+// It may be called from any goroutine while Run runs, also repeatedly.
+func (n *Node) Drain(ctx context.Context, r drain.Reason) {
+	n.drainer.Signal(ctx, r)
+}
+
+// stopCallers lets the requests of callers end and closes their connections.
+func (n *Node) stopCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	for _, srv := range n.callers {
+		if err := srv.ShutdownWithContext(ctx); err != nil {
+			n.log.Warn().Err(err).Str("event", "callers-cut").Msg("requests of callers outlived the shutdown")
+		}
+	}
+}
+
 type serveFunc func(name string, addr netip.AddrPort, run func(net.Listener) error) error
 
 func (n *Node) listen(serve serveFunc) error {
@@ -150,18 +200,17 @@
 }
 
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
-	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Caller: caller, Log: n.log}
-	srv := &fasthttp.Server{
-		Handler:               ingress.Handle,
-		Name:                  "auburnladder",
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           slowSenderTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
-	n.shutdown = append(n.shutdown, func() { _ = srv.Shutdown() })
+	ingress := &proxy.Ingress{
+		State:    n.state,
+		Sessions: n.peers,
+		Router:   n.router,
+		Caller:   caller,
+		Paused:   n.driver.Paused,
+		Tracer:   n.tracer,
+		Log:      n.log,
+	}
+	srv := ingress.NewServer()
+	n.callers = append(n.callers, srv)
 	return serve(name, addr, srv.Serve)
 }
 
@@ -169,7 +218,13 @@
 	for _, f := range n.shutdown {
 		f()
 	}
+	n.stopCallers()
 	n.peers.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	if err := n.tracer.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Str("event", "spans-lost").Msg("spans were not exported")
+	}
 	for _, l := range n.listens {
 		_ = l.Close()
 	}
@@ -191,8 +246,11 @@
 }
 
 // ServeStream implements peers.Handler.
-func (n *Node) ServeStream(ctx context.Context, _ peers.Peer, req *peerpb.Request, st *session.Stream) {
+func (n *Node) ServeStream(ctx context.Context, from peers.Peer, req *peerpb.Request, st *session.Stream) {
+	if n.driver.ServeStream(from.VM, req, st) {
+		return
+	}
 	if call := req.GetCall(); call != nil {
-		n.egress.ServeCall(ctx, call, st)
+		n.egress.ServeCall(ctx, from, call, st)
 	}
 }
