--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -61,5 +61,6 @@
 	So(err, ShouldBeNil)
 	So(c.Publish(first), ShouldBeNil)
 	So(c.InForce(first), ShouldBeNil)
+	So(c.AllReady(), ShouldBeNil)
 	return c, first
 }
--- a/e2e/harness/release.go
+++ b/e2e/harness/release.go
@@ -72,6 +72,16 @@
 	return run(c.root, filepath.Join("scripts", "publish"), c.platformURL(), r.Dir)
 }
 
+// AllReady waits until every node serves callers.
+func (c *Cluster) AllReady() error {
+	for _, vm := range c.VMs {
+		if err := c.Ready(vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // InForce waits until every node holds the release.
 func (c *Cluster) InForce(r *Release) error {
 	for _, vm := range c.VMs {
--- /dev/null
+++ b/e2e/versions_test.go
@@ -0,0 +1,71 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"auburnladder.example/e2e/harness"
+	"auburnladder.example/standin/platform"
+)
+
+const (
+	versionSeed = 30
+	// restartsPerMode is how many nodes are restarted in each mode of the platform.
+	restartsPerMode = 4
+)
+
+// restartNodes kills random nodes one after the other and waits until each serves again.
+func restartNodes(c *harness.Cluster, rng *rand.Rand) {
+	for range restartsPerMode {
+		vm := c.VMs[rng.IntN(len(c.VMs))]
+		So(c.KillNode(vm), ShouldBeNil)
+		So(c.StartNode(vm), ShouldBeNil)
+		So(c.MarkReady(vm), ShouldBeNil)
+	}
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	for _, mode := range []platform.Mode{platform.ModeStale, platform.ModeCrossed, platform.ModeDown} {
+		Convey(fmt.Sprintf("While the platform is %s, restarted nodes keep the newest release", mode), t, func() {
+			c, first := start(t)
+			rng := rand.New(rand.NewPCG(versionSeed, 0))
+			poller, err := c.StartPoller()
+			So(err, ShouldBeNil)
+			second, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
+			So(err, ShouldBeNil)
+			So(c.Publish(second), ShouldBeNil)
+			So(c.InForce(second), ShouldBeNil)
+
+			So(c.SetMode(mode), ShouldBeNil)
+			restartNodes(c, rng)
+			third, err := c.Amend(second, "programma", "deadline: 600ms", "deadline: 700ms")
+			So(err, ShouldBeNil)
+			So(c.Publish(third), ShouldBeNil)
+			restartNodes(c, rng)
+			So(c.SetMode(platform.ModeNormal), ShouldBeNil)
+			So(c.InForce(third), ShouldBeNil)
+
+			poller.Stop()
+			So(poller.Holdings.Len(), ShouldBeGreaterThan, 0)
+			So(harness.CheckHoldings(poller.Holdings.Records()), ShouldBeNil)
+		})
+	}
+	Convey("An old release that is published again does not return", t, func() {
+		c, first := start(t)
+		rng := rand.New(rand.NewPCG(versionSeed, 1))
+		poller, err := c.StartPoller()
+		So(err, ShouldBeNil)
+		second, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
+		So(err, ShouldBeNil)
+		So(c.Publish(second), ShouldBeNil)
+		So(c.InForce(second), ShouldBeNil)
+		So(c.Publish(first), ShouldBeNil)
+		restartNodes(c, rng)
+		So(c.InForce(second), ShouldBeNil)
+		poller.Stop()
+		So(harness.CheckHoldings(poller.Holdings.Records()), ShouldBeNil)
+	})
+}
--- a/node/query/query.go
+++ b/node/query/query.go
@@ -65,9 +65,22 @@
 	return s
 }
 
-// Ready reports whether the node serves callers.
+// Ready reports whether the node serves callers: it holds a release, does not leave,
+// and knows a server for at least one service.
 func (r *Reader) Ready() bool {
-	return r.drain() == statusapi.DrainServing
+	return r.drain() == statusapi.DrainServing && r.knowsServers()
+}
+
+func (r *Reader) knowsServers() bool {
+	if r.Tables == nil {
+		return true
+	}
+	for _, svc := range r.State.Snapshot().Services() {
+		if t := r.Tables.Table(svc.Name); t != nil && len(t.Endpoints) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *Reader) drain() statusapi.DrainState {
--- /dev/null
+++ b/node/query/query_test.go
@@ -0,0 +1,67 @@
+package query
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/routing"
+	"auburnladder.example/node/state"
+)
+
+// fakeTables knows the servers of some services.
+type fakeTables map[string]*routing.Table
+
+func (f fakeTables) Table(service string) *routing.Table {
+	return f[service]
+}
+
+// snapshot returns a release with the one service "programma".
+func snapshot() (*mesh.Snapshot, error) {
+	svc := &mesh.Service{
+		Name:   "programma",
+		Hosts:  []string{"programma.example"},
+		Server: mesh.Server{Slots: 1, Connections: 1},
+		Stop:   mesh.Stop{Method: mesh.StopNone, Grace: 1},
+	}
+	chunk, err := svc.Encode()
+	if err != nil {
+		return nil, err
+	}
+	digest := release.DigestOf(chunk)
+	m := &release.Manifest{
+		Format: release.FormatVersion, Sequence: 1,
+		Chunks: []release.ChunkRef{{Name: svc.Name, Digest: digest, Size: len(chunk)}},
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	v := &release.Verified{
+		Version: release.Version{Sequence: 1, Digest: release.DigestOf(data)}, Manifest: m,
+		Approved: &release.Approved{Manifest: data},
+	}
+	return mesh.Build(v, func(release.Digest) ([]byte, bool) { return chunk, true })
+}
+
+func TestReady(t *testing.T) {
+	Convey("A node is ready once it holds a release and knows a server, until it leaves", t, func() {
+		tables := fakeTables{}
+		r := &Reader{State: state.New(state.Identity{VM: "a"}), Tables: tables, Now: time.Now}
+		So(r.Ready(), ShouldBeFalse)
+		snap, err := snapshot()
+		So(err, ShouldBeNil)
+		So(r.State.Install(snap, time.Now()), ShouldBeTrue)
+		So(r.Ready(), ShouldBeFalse)
+		tables["programma"] = &routing.Table{}
+		So(r.Ready(), ShouldBeFalse)
+		tables["programma"].Endpoints = []*routing.Endpoint{{}}
+		So(r.Ready(), ShouldBeTrue)
+		r.State.SetLeaving(true)
+		So(r.Ready(), ShouldBeFalse)
+	})
+}
