Build routing tables with the first call after a change

Servers found dead also stayed in the tables. Change: a call that finds the tables outdated builds them; only usable servers enter; a node without a VM list is not ready. Ruled out: a shorter interval, which only narrows the gap. Conclusion: a release in force is a release that is routed.

--- a/node/proxy/caller_router.go
+++ b/node/proxy/caller_router.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/mesh"
@@ -35,6 +36,13 @@
 	log       zerolog.Logger
 	budgets   sync.Map // service name to *retry.Budget
 
+	// applied is what the tables were built from; refresh orders their updates.
+	applied atomic.Pointer[applied]
+	refresh sync.Mutex
+}
+
+// applied is a release and a VM list that the tables reflect.
+type applied struct {
 	snapshot *mesh.Snapshot
 	fleet    *state.Fleet
 }
@@ -47,13 +55,15 @@
 // NewRouter returns a router that follows st and chooses servers by policy.
 func NewRouter(st *state.State, policy settings.RoutingPolicy, log zerolog.Logger) *Router {
 	place := routing.Place{Domain: st.Identity.Domain, Region: st.Identity.Region}
-	return &Router{
+	r := &Router{
 		Picker:    picker(policy),
 		Retry:     retry.DefaultConfig(),
 		state:     st,
 		directory: routing.NewDirectory(routing.DefaultConfig(), place),
 		log:       log,
 	}
+	r.applied.Store(&applied{})
+	return r
 }
 
 func picker(policy settings.RoutingPolicy) routing.Picker {
@@ -67,11 +77,33 @@
 	}
 }
 
-// Table returns the servers of a service, or nil if none is known.
+// Table returns the servers of a service, or nil if none is known. The first call
+// after a release or VM list came into force builds the tables anew.
 func (r *Router) Table(service string) *routing.Table {
+	if r.outdated() {
+		r.update(time.Now())
+	}
 	return r.directory.Table(service)
 }
 
+func (r *Router) outdated() bool {
+	a := r.applied.Load()
+	return a.snapshot != r.state.Snapshot() || a.fleet != r.state.Fleet()
+}
+
+// update builds the tables from the release and the VM list in force, unless another
+// goroutine just did.
+func (r *Router) update(now time.Time) {
+	r.refresh.Lock()
+	defer r.refresh.Unlock()
+	next := &applied{snapshot: r.state.Snapshot(), fleet: r.state.Fleet()}
+	if next.snapshot == nil || *next == *r.applied.Load() {
+		return
+	}
+	r.directory.Update(now, next.snapshot, servers(next.fleet))
+	r.applied.Store(next)
+}
+
 // Budget returns the retry budget of a service.
 func (r *Router) Budget(service string) *retry.Budget {
 	if b, ok := r.budgets.Load(service); ok {
@@ -98,11 +130,7 @@
 // Refresh takes over a changed release or VM list and ejects outliers. It is called
 // by one goroutine at a time.
 func (r *Router) Refresh(now time.Time) {
-	snapshot, fleet := r.state.Snapshot(), r.state.Fleet()
-	if snapshot != nil && (snapshot != r.snapshot || fleet != r.fleet) {
-		r.directory.Update(now, snapshot, servers(fleet))
-		r.snapshot, r.fleet = snapshot, fleet
-	}
+	r.update(now)
 	for _, ev := range r.directory.Sweep(now) {
 		r.report(ev)
 	}
@@ -130,9 +158,9 @@
 }
 
 func servers(f *state.Fleet) []routing.Server {
-	list := make([]routing.Server, len(f.VMs))
-	for i := range f.VMs {
-		vm := &f.VMs[i]
+	usable := f.Usable()
+	list := make([]routing.Server, len(usable))
+	for i, vm := range usable {
 		list[i] = routing.Server{
 			VM:      vm.ID,
 			Service: vm.Service,
--- a/node/query/query.go
+++ b/node/query/query.go
@@ -72,7 +72,7 @@
 
 func (r *Reader) drain() statusapi.DrainState {
 	switch {
-	case r.State.Snapshot() == nil:
+	case r.State.Snapshot() == nil || r.State.Fleet().Revision == 0:
 		return statusapi.DrainStarting
 	case r.State.Leaving():
 		return statusapi.DrainDraining
--- a/node/state/fleet.go
+++ b/node/state/fleet.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"auburnladder.example/core/membership"
 	"auburnladder.example/core/vmlist"
 )
@@ -89,6 +91,18 @@
 	return nil
 }
 
+// Usable returns the VMs of all services as Servers does, in the order of the list.
+func (f *Fleet) Usable() []*vmlist.VM {
+	usable := make([]*vmlist.VM, 0, len(f.VMs))
+	for i := range f.VMs {
+		vm := &f.VMs[i]
+		if slices.Contains(f.Servers(vm.Service), vm) {
+			usable = append(usable, vm)
+		}
+	}
+	return usable
+}
+
 // Health returns what probing found about a VM. A VM that was not probed yet counts
 // as alive.
 func (f *Fleet) Health(id string) membership.State {
