--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -144,8 +144,12 @@
 	return result
 }
 
+// addConflicts adds conflicts that no newer release has ended.
 func (r *fleetStatus) addConflicts(conflicts []statusapi.Conflict) {
 	for _, c := range conflicts {
+		if c.Kept.Sequence < r.Newest.Sequence {
+			continue
+		}
 		known := slices.ContainsFunc(r.Conflicts, func(o statusapi.Conflict) bool {
 			return o.Kept == c.Kept && o.Dropped == c.Dropped
 		})
