Pause nodes for longer than sessions may be silent

Pauses used to end within a fraction of a second and met no call; now each lasts 6 s while callers use the other nodes, which still send to the paused one.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -11,29 +12,39 @@
 
 const (
 	faultSeed = 20
-	// killRounds and pauseRounds are the numbers of nodes that are broken one after
-	// the other.
-	killRounds  = 8
-	pauseRounds = 4
 	// callsPerStep is how many calls end between two faults.
 	callsPerStep = 80
-	// callers is above the share of callsPerStep that a paused node holds up.
-	callers = 24
+	callers      = 24
 )
 
-// breakNodes runs one fault after the other while calls run and checks all calls.
-func breakNodes(t *testing.T, rounds int, begin, end func(*harness.Cluster, *harness.VM) error) {
+// nodeFault is what is done to one node after the other while calls run.
+type nodeFault struct {
+	rounds int
+	begin  func(*harness.Cluster, *harness.VM) error
+	end    func(*harness.Cluster, *harness.VM) error
+	// hold is how long the fault lasts at least. While it lasts, callers avoid the node;
+	// other nodes still send to it.
+	hold time.Duration
+}
+
+// breakNodes runs faults while calls run and checks all calls.
+func breakNodes(t *testing.T, f nodeFault) {
 	c, _ := start(t)
 	rng := rand.New(rand.NewPCG(faultSeed, 0))
 	load, err := c.StartLoad(callers, faultSeed)
 	So(err, ShouldBeNil)
 	So(load.More(callsPerStep), ShouldBeNil)
-	for range rounds {
+	for range f.rounds {
 		vm := c.VMs[rng.IntN(len(c.VMs))]
-		So(begin(c, vm), ShouldBeNil)
+		So(f.begin(c, vm), ShouldBeNil)
+		if f.hold > 0 {
+			load.Avoid(vm)
+			time.Sleep(f.hold)
+		}
 		So(load.More(callsPerStep), ShouldBeNil)
-		So(end(c, vm), ShouldBeNil)
+		So(f.end(c, vm), ShouldBeNil)
 		So(c.MarkReady(vm), ShouldBeNil)
+		load.Avoid(nil)
 		So(load.More(callsPerStep), ShouldBeNil)
 	}
 	load.Stop()
@@ -46,12 +57,23 @@
 
 func TestKilledNodesLoseNoAnswerSilently(t *testing.T) {
 	Convey("While nodes are killed, each caller gets a whole answer or an error with a true verdict", t, func() {
-		breakNodes(t, killRounds, (*harness.Cluster).KillNode, (*harness.Cluster).StartNode)
+		breakNodes(t, nodeFault{
+			rounds: 8,
+			begin:  (*harness.Cluster).KillNode,
+			end:    (*harness.Cluster).StartNode,
+		})
 	})
 }
 
 func TestPausedNodesLoseNoAnswerSilently(t *testing.T) {
 	Convey("While nodes are paused, each caller gets a whole answer or an error with a true verdict", t, func() {
-		breakNodes(t, pauseRounds, (*harness.Cluster).PauseNode, (*harness.Cluster).ResumeNode)
+		breakNodes(t, nodeFault{
+			rounds: 4,
+			begin:  (*harness.Cluster).PauseNode,
+			end:    (*harness.Cluster).ResumeNode,
+			// Longer than the deadline of a booking and than the silence after which
+			// other nodes give up their sessions.
+			hold: 6 * time.Second,
+		})
 	})
 }
--- a/e2e/harness/cluster.go
+++ b/e2e/harness/cluster.go
@@ -27,6 +27,10 @@
 	// statusTimeout bounds one question to a node or to the platform stand-in.
 	statusTimeout = 5 * time.Second
 
+	// serverWork is how long a backend server works on a call: long enough that calls
+	// are under way whenever a node is killed.
+	serverWork = 25 * time.Millisecond
+
 	serverPort   = 8200
 	platformPort = 2000
 	// exampleNetwork is the start of the addresses in the example lists of VMs.
@@ -145,7 +149,7 @@
 func (c *Cluster) startBackend(vm *VM) error {
 	p, err := startProcess(c.Dir, "backend-"+vm.ID, filepath.Join(c.bin, "standin"), "backend",
 		"--listen", vm.serverAddress(), "--service", vm.Service, "--vm", vm.ID,
-		"--faults", "--stop-path", "/stop", "--history", vm.HistoryFile())
+		"--work", serverWork.String(), "--faults", "--stop-path", "/stop", "--history", vm.HistoryFile())
 	vm.Backend = p
 	return err
 }
--- a/e2e/harness/load.go
+++ b/e2e/harness/load.go
@@ -65,6 +65,7 @@
 	cluster *Cluster
 	client  *http.Client
 	next    atomic.Uint64
+	avoided atomic.Pointer[VM]
 	stop    context.CancelFunc
 	workers conc.WaitGroup
 }
@@ -96,6 +97,12 @@
 	l.workers.Wait()
 }
 
+// Avoid sends no new calls to a VM's node, so that no caller has to wait for it; nil
+// ends that. Calls to the VM's backend server go on.
+func (l *Load) Avoid(vm *VM) {
+	l.avoided.Store(vm)
+}
+
 // More waits until n more calls have ended.
 func (l *Load) More(n int) error {
 	target := l.Calls.Len() + n
@@ -111,6 +118,9 @@
 	for ctx.Err() == nil {
 		k := kinds[rng.IntN(len(kinds))]
 		vm := l.cluster.VMs[rng.IntN(len(l.cluster.VMs))]
+		if vm == l.avoided.Load() {
+			continue
+		}
 		call := l.send(k, vm, rng)
 		if err := l.Calls.Add(call); err != nil {
 			return
