--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -40,12 +40,17 @@
 // start runs a cluster with its first release in force. Logs and journals stay behind
 // if the test fails.
 func start(t *testing.T) (*harness.Cluster, *harness.Release) {
+	t.Helper()
+	return startWith(t, harness.Options{Copies: 1})
+}
+
+func startWith(t *testing.T, opts harness.Options) (*harness.Cluster, *harness.Release) {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "auburnladder-e2e-")
 	So(err, ShouldBeNil)
 	absolute, err := filepath.Abs(root)
 	So(err, ShouldBeNil)
-	c, err := harness.Start(absolute, binaries, dir)
+	c, err := harness.Start(absolute, binaries, dir, opts)
 	t.Cleanup(func() {
 		if c != nil {
 			c.Stop()
--- a/e2e/harness/cluster.go
+++ b/e2e/harness/cluster.go
@@ -65,11 +65,19 @@
 		"./node/cmd/...", "./cli/cmd/...", "./standin/cmd/...")
 }
 
+// Options say what a cluster consists of.
+type Options struct {
+	// Copies is how often each VM of the example deployment is there, 1 to 10.
+	Copies int
+	// NoBackends leaves out the backend servers.
+	NoBackends bool
+}
+
 // Start starts the platform stand-in and a backend server and a node for each VM of
 // the example deployment, and publishes the list of VMs. No release is published yet.
-func Start(root, bin, dir string) (*Cluster, error) {
+func Start(root, bin, dir string, opts Options) (*Cluster, error) {
 	c := &Cluster{Dir: dir, bin: bin, root: root, client: &http.Client{Timeout: statusTimeout}}
-	err := errors.Join(c.takeNetwork(), c.keygen())
+	err := errors.Join(c.takeNetwork(), c.readVMs(opts.Copies), c.keygen())
 	if err != nil {
 		return nil, err
 	}
@@ -80,13 +88,22 @@
 		return c, err
 	}
 	for _, vm := range c.VMs {
-		if err := errors.Join(c.startBackend(vm), c.writeSettings(vm), c.StartNode(vm)); err != nil {
+		if err := c.startVM(vm, opts); err != nil {
 			return c, err
 		}
 	}
 	return c, c.publishVMs()
 }
 
+func (c *Cluster) startVM(vm *VM, opts Options) error {
+	if !opts.NoBackends {
+		if err := c.startBackend(vm); err != nil {
+			return err
+		}
+	}
+	return errors.Join(c.writeSettings(vm), c.StartNode(vm))
+}
+
 // Stop ends every process of the cluster.
 func (c *Cluster) Stop() {
 	for _, vm := range c.VMs {
@@ -101,27 +118,40 @@
 	}
 }
 
-// takeNetwork picks a loopback network that nobody uses and reads the list of VMs.
+// takeNetwork picks a loopback network that nobody uses.
 func (c *Cluster) takeNetwork() error {
 	for {
 		c.network = fmt.Sprintf("127.%d.", 21+rand.IntN(70))
 		l, err := net.Listen("tcp", c.platformAddress())
 		if err == nil {
-			_ = l.Close()
-			break
+			return l.Close()
 		}
 	}
+}
+
+// readVMs reads the example list of VMs. The copies have addresses of their own.
+func (c *Cluster) readVMs(copies int) error {
 	data, err := os.ReadFile(filepath.Join(c.root, "examples/zaalwijzer/vms.json"))
 	if err != nil {
 		return fmt.Errorf("list of VMs: %w", err)
 	}
-	data = []byte(strings.ReplaceAll(string(data), exampleNetwork, c.network))
-	list, err := vmlist.Parse(data, 0)
-	if err != nil {
-		return err
-	}
-	for _, vm := range list.VMs {
-		c.VMs = append(c.VMs, &VM{VM: vm, dir: c.Dir})
+	for n := range copies {
+		// The third number of an address is that of its failure domain, 1 to 3.
+		text := string(data)
+		for domain := 1; domain <= 3; domain++ {
+			before := fmt.Sprintf("%s%d.", exampleNetwork, domain)
+			text = strings.ReplaceAll(text, before, fmt.Sprintf("%s%d.", c.network, 10*n+domain))
+		}
+		list, err := vmlist.Parse([]byte(text), 0)
+		if err != nil {
+			return err
+		}
+		for _, vm := range list.VMs {
+			if n > 0 {
+				vm.ID = fmt.Sprintf("%s-copy-%d", vm.ID, n)
+			}
+			c.VMs = append(c.VMs, &VM{VM: vm, dir: c.Dir})
+		}
 	}
 	return nil
 }
@@ -235,6 +265,20 @@
 	return s, err
 }
 
+// QuietStats waits for a second without reads and returns the counts.
+func (c *Cluster) QuietStats() (platform.Stats, error) {
+	var quiet platform.Stats
+	err := Eventually("a second without reads", func() error {
+		s, err := c.Stats()
+		if err == nil && s.ReadsLastSecond > 0 {
+			err = fmt.Errorf("%d reads in the last second", s.ReadsLastSecond)
+		}
+		quiet = s
+		return err
+	})
+	return quiet, err
+}
+
 // SetMode changes how the platform stand-in treats its readers.
 func (c *Cluster) SetMode(mode platform.Mode) error {
 	return c.put("/admin/mode/"+string(mode), nil)
