--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -101,7 +101,7 @@
 	}
 	row.Reader = s.Reader
 	row.State = string(s.Drain)
-	if s.Server == statusapi.ServerDown || s.Server == statusapi.ServerShedding {
+	if s.Server == statusapi.ServerDown {
 		row.State += ", server " + string(s.Server)
 	}
 	row.status = s
--- a/core/statusapi/statusapi.go
+++ b/core/statusapi/statusapi.go
@@ -58,6 +58,8 @@
 	Peers  []PeerStatus `json:"peers,omitempty"`
 	Drain  DrainState   `json:"drain"`
 	Server ServerState  `json:"server"`
+	// Load is the work at the node\'s own backend server.
+	Load ServerLoad `json:"load"`
 	// VMs is the VM list that the node holds, left out of a brief answer.
 	VMs []vmlist.VM `json:"vms,omitempty"`
 }
@@ -78,13 +80,23 @@
 
 // Server states.
 const (
-	ServerUnknown  ServerState = "unknown"
-	ServerUp       ServerState = "up"
-	ServerShedding ServerState = "shedding"
-	ServerLeaving  ServerState = "leaving"
-	ServerDown     ServerState = "down"
+	// ServerUnknown means that no connection to the server was needed lately.
+	ServerUnknown ServerState = "unknown"
+	ServerUp      ServerState = "up"
+	ServerLeaving ServerState = "leaving"
+	// ServerDown means that the server refused the last connection.
+	ServerDown ServerState = "down"
 )
 
+// ServerLoad is the work at one backend server.
+type ServerLoad struct {
+	// InFlight counts requests that run, and Queued those that wait for a slot.
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	// Limit is the number of requests that may run at once; 0 before the first release.
+	Limit int `json:"limit"`
+}
+
 // RefusedRelease is a release that a node did not put in force.
 type RefusedRelease struct {
 	Version release.Version `json:"version"`
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -22,8 +22,9 @@
 	return distribution.Config{Machine: machine, Self: self, Trust: trust}
 }
 
-// extendStatus adds the node's part in the distribution.
+// extendStatus adds the node's part in the distribution and its backend server.
 func (n *Node) extendStatus(s *statusapi.Status) {
 	s.Reader = n.driver.Status().Reader
 	s.SourceFailing = n.driver.SourceFailing()
+	s.Server, s.Load = n.egress.ServerStatus()
 }
