Let two primary readers fetch a large release and others wait for them

Cause: in a cold start every reader read every chunk, and the readers' budget bound the time. Other readers start after twice the time that the primaries should take.

--- a/bench/distribution/command.go
+++ b/bench/distribution/command.go
@@ -3,9 +3,11 @@
 package distribution
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"runtime"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -47,11 +49,19 @@
 	c.Flag("seed", "Seed of the links.").Default("1").Uint64Var(&s.Seed)
 	c.Flag("cut", "Also cut one domain off during a release and heal it.").BoolVar(&s.Cut)
 	c.Flag("watch", "Measure the baseline in which every node watches the platform.").BoolVar(&s.Watch)
+	profile := c.Flag("profile", "Write a CPU profile to this file.").String()
 	header := c.Flag("header", "Print the head of the table first.").Bool()
 	commands[c.FullCommand()] = func() error {
 		if *header {
 			printHeader()
 		}
+		if *profile != "" {
+			stop, err := startProfile(*profile)
+			if err != nil {
+				return err
+			}
+			defer stop()
+		}
 		return run(s)
 	}
 }
@@ -68,6 +78,21 @@
 	return err
 }
 
+func startProfile(path string) (stop func(), err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		// The profile is a by-product: a failed close shows when it is read.
+		_ = f.Close()
+	}, nil
+}
+
 func (s Spec) machine() core.Config {
 	cfg := core.Convergence()
 	if s.Preset == "bytes" {
--- a/core/distribution/config.go
+++ b/core/distribution/config.go
@@ -25,7 +25,7 @@
 	RetryMin time.Duration
 	RetryMax time.Duration
 	// BatchBytes bounds the chunk bytes of one request to a peer. Larger batches need
-	// fewer round trips and lose more work on a failure. Default 1 MiB.
+	// fewer round trips and repeat more bytes after a timeout. Default 128 KiB.
 	BatchBytes int
 	// MaxReleaseBytes bounds the sum of a release's chunk sizes. The store holds at most
 	// three releases. Default 4 MiB.
@@ -86,7 +86,7 @@
 		FetchTimeout:          150 * time.Millisecond,
 		RetryMin:              250 * time.Millisecond,
 		RetryMax:              10 * time.Second,
-		BatchBytes:            1 << 20,
+		BatchBytes:            128 << 10,
 		MaxReleaseBytes:       4 << 20,
 		SourceReadsPerSecond:  1600,
 		ReaderShare:           0.5,
--- a/core/distribution/machine.go
+++ b/core/distribution/machine.go
@@ -71,6 +71,7 @@
 	neighbours map[string]bool
 	peers      map[string]*peer
 	reader     bool
+	primary    bool
 	nextRepair time.Time
 
 	list         *vmlist.List
--- a/core/distribution/overlay.go
+++ b/core/distribution/overlay.go
@@ -51,17 +51,24 @@
 	return ids
 }
 
-// countReaders returns the number of readers in all failure domains.
-func countReaders(vms []vmlist.VM, k int) int {
-	perDomain := make(map[string]int)
+// allReaders returns the readers of all failure domains in an order that is the same
+// on all nodes with the same view.
+func allReaders(vms []vmlist.VM, k int) []string {
+	seen := make(map[string]bool)
+	var readers []string
 	for i := range vms {
-		perDomain[vms[i].Domain]++
-	}
-	total := 0
-	for _, n := range perDomain {
-		total += min(k, n)
+		if domain := vms[i].Domain; !seen[domain] {
+			seen[domain] = true
+			readers = append(readers, Readers(vms, domain, k)...)
+		}
 	}
-	return total
+	slices.SortFunc(readers, func(a, b string) int {
+		if c := cmp.Compare(score("primary", a), score("primary", b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return readers
 }
 
 // Neighbours returns the peers to which self opens sessions. The first local one is
--- a/core/distribution/source.go
+++ b/core/distribution/source.go
@@ -17,6 +17,10 @@
 	// may make at once.
 	readerBurst = 8
 	peerBurst   = 1
+	// primaryReaders is the number of readers of the whole fleet that fetch many chunks
+	// at once; the others wait for them. They have primaryShare of the readers' budget.
+	primaryReaders = 2
+	primaryShare   = 0.5
 	// minCheckInterval bounds how often a node that is not a reader checks the source.
 	minCheckInterval = 30 * time.Second
 )
@@ -113,23 +117,35 @@
 // Before a VM list is held the view may hold a few seeds only, among which every
 // starting node would take itself for a reader.
 func (m *Machine) assignRole(now time.Time) {
-	m.reader = false
+	m.reader, m.primary = false, false
 	if m.list == nil {
 		return
 	}
-	for _, id := range Readers(m.view, m.self.Domain, m.cfg.ReadersPerDomain) {
-		m.reader = m.reader || id == m.self.ID
-	}
+	readers := allReaders(m.view, m.cfg.ReadersPerDomain)
+	rank := slices.Index(readers, m.self.ID)
+	m.reader, m.primary = rank >= 0, rank >= 0 && rank < primaryReaders
 	limit, burst := m.peerRate(len(m.view)), peerBurst
 	if m.reader {
-		readers := countReaders(m.view, m.cfg.ReadersPerDomain)
-		limit = rate.Limit(m.cfg.SourceReadsPerSecond * m.cfg.ReaderShare / float64(readers))
-		burst = readerBurst
+		limit, burst = m.readerRate(len(readers)), readerBurst
 	}
 	m.source.limiter.SetLimitAt(now, limit)
 	m.source.limiter.SetBurstAt(now, burst)
 }
 
+// readerRate is the budget of this reader in reads per second, out of the given number
+// of readers.
+func (m *Machine) readerRate(readers int) rate.Limit {
+	total := m.cfg.SourceReadsPerSecond * m.cfg.ReaderShare
+	switch {
+	case readers <= primaryReaders:
+		return rate.Limit(total / float64(readers))
+	case m.primary:
+		return rate.Limit(total * primaryShare / primaryReaders)
+	default:
+		return rate.Limit(total * (1 - primaryShare) / float64(readers-primaryReaders))
+	}
+}
+
 // runSource makes the calls that are due and within the budget.
 func (m *Machine) runSource(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(m.source.calls)) {
@@ -197,27 +213,32 @@
 // provides.
 func (m *Machine) readManifest(now time.Time, c *candidate) {
 	if c.sourceAt.IsZero() {
-		c.sourceAt = m.sourceTurn(now)
+		c.sourceAt = m.sourceTurn(now, 1)
 		if !m.source.pending(release.CurrentKey) {
 			m.source.release.readAt = c.sourceAt
 		}
 	}
 }
 
-// sourceTurn returns when the node may turn to the source: a reader at once, others
-// spread so that a common cause does not make them all call together.
-func (m *Machine) sourceTurn(now time.Time) time.Time {
-	if m.reader {
+// sourceTurn returns when the node may make the given number of calls to the source: a
+// reader at once unless there are many, for which the primary readers go first; other
+// nodes spread, so that a common cause does not make them all call together.
+func (m *Machine) sourceTurn(now time.Time, calls int) time.Time {
+	if !m.reader {
+		return now.Add(m.upTo(m.sourceSpread()))
+	}
+	if m.primary || calls <= readerBurst {
 		return now
 	}
-	return now.Add(m.upTo(m.sourceSpread()))
+	primaryRate := m.cfg.SourceReadsPerSecond * m.cfg.ReaderShare * primaryShare / primaryReaders
+	return now.Add(m.jitter(2 * time.Duration(float64(calls)/primaryRate*float64(time.Second))))
 }
 
 // readChunks reads missing chunks at the source. It reports whether any answer is
 // still to come.
 func (m *Machine) readChunks(now time.Time, c *candidate, missing []release.ChunkRef) bool {
 	if c.sourceAt.IsZero() {
-		c.sourceAt = m.sourceTurn(now)
+		c.sourceAt = m.sourceTurn(now, len(missing))
 	}
 	if now.Before(c.sourceAt) {
 		return true
@@ -308,13 +329,21 @@
 	case e.Key == release.CurrentKey || e.Key == release.VMListKey:
 		m.documentRead(now, e, known && call.wait)
 	case strings.HasPrefix(e.Key, release.ChunkKeyPrefix):
-		stored := e.Found && m.storeChunk(e.Value)
-		if known && !stored {
-			m.markUnavailable(call.digest)
+		if !e.Found || !m.storeChunk(e.Value) {
+			m.chunkUnavailable(e.Key)
 		}
 	}
 }
 
+// chunkUnavailable notes that the platform does not hold a chunk. An answer to an
+// earlier call says so as well.
+func (m *Machine) chunkUnavailable(key string) {
+	var d release.Digest
+	if err := d.UnmarshalText([]byte(strings.TrimPrefix(key, release.ChunkKeyPrefix))); err == nil {
+		m.markUnavailable(d)
+	}
+}
+
 func (m *Machine) documentRead(now time.Time, e SourceValue, watch bool) {
 	d := m.source.document(e.Key)
 	d.failures, d.retryAt, d.answered = 0, time.Time{}, true
