Prove each node's VM with mutual TLS and take callers from the VM list

Cause: any process that reached a peer port was believed to be any VM and could speak for any calling service.

peertls is a transport of the sessions: TLS 1.3 both ways, the certificate's one URI auburnladder://vm/ID is the identity, and it must be the VM dialled and the VM of the Hello. Files are looked at every 10 s; a pair that doesn't fit, an expired one or another VM's leaves the old one in use. peer_tls.mode has no default, so plain is written down in every settings file that wants it.

A peer may speak for the public class or for the service that the VM list gives it. A VM that the list doesn't name yet is refused with "starting", so that the call goes elsewhere; its own claim counts for nothing. Ruled out: refusing sessions of unlisted VMs, since a node that joins could then learn nothing from peers until the lagging list is everywhere.

Not run: real nodes with mTLS.

--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/peers"
+	"auburnladder.example/node/peertls"
 	"auburnladder.example/node/platform"
 	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy"
@@ -41,16 +42,18 @@
 
 // Node is one running node.
 type Node struct {
-	cfg      *settings.Settings
-	log      zerolog.Logger
-	state    *state.State
-	reader   *query.Reader
-	command  *command.Commander
-	prober   *probe.Prober
-	peers    *peers.Set
-	driver   *distribution.Driver
-	egress   *proxy.Egress
-	drainer  *proxy.Drainer
+	cfg     *settings.Settings
+	log     zerolog.Logger
+	state   *state.State
+	reader  *query.Reader
+	command *command.Commander
+	prober  *probe.Prober
+	peers   *peers.Set
+	driver  *distribution.Driver
+	egress  *proxy.Egress
+	drainer *proxy.Drainer
+	// tls is nil if connections between nodes are plain.
+	tls      *peertls.Transport
 	callers  []*fasthttp.Server
 	router   *proxy.Router
 	listens  []net.Listener
@@ -74,6 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.tls, err = newPeerTLS(cfg, log); err != nil {
+		return nil, err
+	}
 	n.router = proxy.NewRouter(st, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
@@ -110,7 +116,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	n.peers = peers.New(ctx, peers.DefaultConfig(), n.hello, n, n.log)
+	n.peers = peers.New(ctx, n.peersConfig(), n.hello, n, n.log)
 	var tasks conc.WaitGroup
 	serve := func(name string, addr netip.AddrPort, run func(net.Listener) error) error {
 		l, err := net.Listen("tcp", addr.String())
@@ -134,6 +140,9 @@
 		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 		tasks.Go(func() { n.router.Run(ctx) })
 		tasks.Go(func() { n.egress.Run(ctx) })
+		if n.tls != nil {
+			tasks.Go(func() { n.tls.Run(ctx, n.cfg.PeerTLS.Reload.Std()) })
+		}
 		tasks.Go(func() {
 			if n.drainer.Run(ctx) {
 				n.stopCallers()
@@ -153,6 +162,24 @@
 	return err
 }
 
+func (n *Node) peersConfig() peers.Config {
+	cfg := peers.DefaultConfig()
+	if n.tls != nil {
+		cfg.Transport = n.tls
+	}
+	return cfg
+}
+
+// newPeerTLS returns the transport that the settings ask for, nil for a plain one.
+func newPeerTLS(cfg *settings.Settings, log zerolog.Logger) (*peertls.Transport, error) {
+	if cfg.PeerTLS.Mode != settings.PeerTLSMutual {
+		log.Warn().Str("event", "peers-plain").Msg("connections between nodes are plain, as the settings say")
+		return nil, nil
+	}
+	files := &peertls.Files{Cert: cfg.PeerTLS.Cert, Key: cfg.PeerTLS.Key, CA: cfg.PeerTLS.CA}
+	return peertls.New(cfg.VM.ID, files, log)
+}
+
 // Drain takes the server out of service for the given reason; Run returns afterwards.
 // It may be called from any goroutine while Run runs, also repeatedly.
 func (n *Node) Drain(ctx context.Context, r drain.Reason) {
--- a/node/proxy/egress_check.go
+++ b/node/proxy/egress_check.go
@@ -51,15 +51,17 @@
 	return m, e.checkCaller(x, m)
 }
 
-// checkCaller accepts the public caller class, or the service that the peer itself
-// belongs to, if the questionnaire lists it.
+// checkCaller accepts the public caller class, or the service that the VM list gives for
+// the peer, if the questionnaire lists it. What a peer says of itself proves nothing.
 func (e *Egress) checkCaller(x *exchange, m *mesh.Match) error {
 	caller := x.call.GetCaller()
-	if vm := e.State.Fleet().VM(x.from.VM); vm != nil && vm.Service != x.from.Service {
-		return refused(peerpb.Refusal_REFUSAL_FORBIDDEN, "peer %q is listed under service %q, not %q", x.from.VM, vm.Service, x.from.Service)
-	}
-	if caller != mesh.PublicCaller && caller != x.from.Service {
-		return refused(peerpb.Refusal_REFUSAL_FORBIDDEN, "peer %q can't speak for caller %q", x.from.VM, caller)
+	vm := e.State.Fleet().VM(x.from.VM)
+	switch {
+	case caller == mesh.PublicCaller:
+	case vm == nil:
+		return refused(peerpb.Refusal_REFUSAL_STARTING, "the VM list here does not name peer %q yet", x.from.VM)
+	case vm.Service != caller:
+		return refused(peerpb.Refusal_REFUSAL_FORBIDDEN, "peer %q of service %q can't speak for caller %q", x.from.VM, vm.Service, caller)
 	}
 	if !m.Owner.Allows(caller) {
 		return refused(peerpb.Refusal_REFUSAL_FORBIDDEN, "caller %q may not call service %q", caller, m.Owner.Name)
--- a/node/proxy/egress_test.go
+++ b/node/proxy/egress_test.go
@@ -140,7 +140,10 @@
 func newEgressRig(server *rawServer, change ...func(*EgressConfig)) *egressRig {
 	st := state.New(state.Identity{VM: "tickets-1", Service: "tickets", Domain: "a", Region: "r"})
 	st.Install(egressSnapshot(), time.Now())
-	st.ReplaceVMs(&vmlist.List{Revision: 1, VMs: []vmlist.VM{{ID: "shop-1", Service: "shop"}}})
+	st.ReplaceVMs(&vmlist.List{Revision: 1, VMs: []vmlist.VM{
+		{ID: "shop-1", Service: "shop"},
+		{ID: "bank-1", Service: "bank"},
+	}})
 	cfg := DefaultEgressConfig()
 	cfg.SeenCalls = 16
 	for _, f := range change {
@@ -309,9 +312,10 @@
 		"resynchronising":  {func(r *egressRig, _ *peerpb.Call) { r.egress.State.SetResyncing(true) }, peerpb.Refusal_REFUSAL_STARTING},
 		"no such route":    {func(_ *egressRig, c *peerpb.Call) { c.Uri = "/other" }, peerpb.Refusal_REFUSAL_FORBIDDEN},
 		"newer release":    {func(_ *egressRig, c *peerpb.Call) { c.Uri, c.Release.Sequence = "/other", 8 }, peerpb.Refusal_REFUSAL_STARTING},
-		"forged caller":    {func(_ *egressRig, c *peerpb.Call) { c.Caller = "bank" }, peerpb.Refusal_REFUSAL_FORBIDDEN},
+		"forged caller":    {func(r *egressRig, c *peerpb.Call) { r.from.VM, c.Caller = "bank-1", "shop" }, peerpb.Refusal_REFUSAL_FORBIDDEN},
 		"unlisted caller":  {func(_ *egressRig, c *peerpb.Call) { c.Host = "shop.test" }, peerpb.Refusal_REFUSAL_FORBIDDEN},
 		"peer's service":   {func(r *egressRig, c *peerpb.Call) { r.from.Service, c.Caller = "bank", "bank" }, peerpb.Refusal_REFUSAL_FORBIDDEN},
+		"unlisted peer":    {func(r *egressRig, c *peerpb.Call) { r.from.VM, c.Caller = "shop-2", "shop" }, peerpb.Refusal_REFUSAL_STARTING},
 		"no time left":     {func(_ *egressRig, c *peerpb.Call) { c.RemainingUs = 0 }, peerpb.Refusal_REFUSAL_DEADLINE},
 		"split header":     {func(_ *egressRig, c *peerpb.Call) { c.Headers = []*peerpb.Header{{Name: "A", Value: "b\r\nC: d"}} }, peerpb.Refusal_REFUSAL_BAD_REQUEST},
 		"split uri":        {func(_ *egressRig, c *peerpb.Call) { c.Uri = "/seats HTTP/1.1\r\nA: b" }, peerpb.Refusal_REFUSAL_BAD_REQUEST},
@@ -408,6 +412,12 @@
 			r.close()
 			So(r.server.requests.Load(), ShouldEqual, 3)
 		})
+		Convey("a listed peer speaks for its own service", func() {
+			call := r.call()
+			call.Caller = "shop"
+			So(r.do(call).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
+			r.close()
+		})
 		Convey("headers that only nodes may set and those of the connection don't pass", func() {
 			var got http.Header
 			r.server.handle = func(conn net.Conn, b *bufio.Reader, req *http.Request) bool {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -35,6 +36,8 @@
 	// NodeKey is the private key with which the node signs evidence for audits, as
 	// keygen writes it with the VM's id as the key's id; "" if none.
 	NodeKey string `yaml:"node_key"`
+	// PeerTLS protects the connections between nodes.
+	PeerTLS PeerTLS `yaml:"peer_tls" check:"required"`
 	// Preset weighs convergence time against control bytes.
 	Preset Preset `yaml:"preset"`
 	Log    Log    `yaml:"log"`
@@ -66,6 +69,30 @@
 	Address netip.AddrPort `yaml:"address" check:"required"`
 }
 
+// PeerTLSMode says how connections between nodes are protected.
+type PeerTLSMode string
+
+// Modes of protection.
+const (
+	// PeerTLSMutual has each node prove its VM with a certificate.
+	PeerTLSMutual PeerTLSMode = "mutual"
+	// PeerTLSPlain protects nothing: any process that reaches a node is believed.
+	PeerTLSPlain PeerTLSMode = "plain"
+)
+
+// PeerTLS holds the credentials of the node towards other nodes. There is no default:
+// plain connections must be asked for.
+type PeerTLS struct {
+	Mode PeerTLSMode `yaml:"mode" check:"required"`
+	// Cert, Key and CA are paths of PEM files. Changed files are taken over while the
+	// node runs.
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca"`
+	// Reload is the time between two looks at the files.
+	Reload yamlcheck.Duration `yaml:"reload"`
+}
+
 // Platform is the platform's configuration service.
 type Platform struct {
 	// Addresses are "ip:port" of the service's endpoints.
@@ -116,6 +143,7 @@
 	defaultPlatformTimeout = 2 * time.Second
 	defaultPlatformWait    = 30 * time.Second
 	defaultSampleRatio     = 0.01
+	defaultPeerTLSReload   = 10 * time.Second
 )
 
 // Default returns the settings that a file starts from.
@@ -125,9 +153,10 @@
 			Timeout: yamlcheck.Duration(defaultPlatformTimeout),
 			Wait:    yamlcheck.Duration(defaultPlatformWait),
 		},
-		Preset: PresetConvergence,
-		Log:    Log{Level: "info", Format: LogJSON},
-		Trace:  Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
+		PeerTLS: PeerTLS{Reload: yamlcheck.Duration(defaultPeerTLSReload)},
+		Preset:  PresetConvergence,
+		Log:     Log{Level: "info", Format: LogJSON},
+		Trace:   Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
 	}
 }
 
@@ -163,9 +192,39 @@
 			})
 		}
 	}
+	problems = append(problems, s.PeerTLS.problems()...)
 	return append(problems, s.validateNodeKey()...)
 }
 
+func (t *PeerTLS) problems() []yamlcheck.Problem {
+	var problems []yamlcheck.Problem
+	report := func(field, found, expected string) {
+		problems = append(problems, yamlcheck.Problem{Field: "peer_tls." + field, Found: found, Expected: expected})
+	}
+	files := map[string]string{"cert": t.Cert, "key": t.Key, "ca": t.CA}
+	switch t.Mode {
+	case PeerTLSMutual:
+		for _, name := range slices.Sorted(maps.Keys(files)) {
+			if files[name] == "" {
+				report(name, "nothing", "the path of a PEM file")
+			}
+		}
+	case PeerTLSPlain:
+		for _, name := range slices.Sorted(maps.Keys(files)) {
+			if files[name] != "" {
+				report(name, files[name], "nothing, or mode: mutual")
+			}
+		}
+	case "":
+	default:
+		report("mode", string(t.Mode), "mutual or plain")
+	}
+	if t.Reload <= 0 {
+		report("reload", t.Reload.String(), "a time above 0s")
+	}
+	return problems
+}
+
 // validateNodeKey names no part of the key in what it reports.
 func (s *Settings) validateNodeKey() []yamlcheck.Problem {
 	if s.NodeKey == "" {
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -43,3 +44,39 @@
 		}
 	})
 }
+
+func TestPeerTLSIsAskedFor(t *testing.T) {
+	with := func(peerTLS string) error {
+		lines := strings.Split(Template(), "\n")
+		kept := lines[:0]
+		skip := false
+		for _, l := range lines {
+			if l == "peer_tls:" {
+				skip = true
+			} else if skip && !strings.HasPrefix(l, "  ") {
+				skip = false
+			}
+			if !skip {
+				kept = append(kept, l)
+			}
+		}
+		_, err := Parse("node.yaml", []byte(strings.Join(kept, "\n")+"\n"+peerTLS+"\n"))
+		return err
+	}
+	Convey("Plain connections between nodes must be asked for", t, func() {
+		So(with("peer_tls: {mode: plain}"), ShouldBeNil)
+		So(with("peer_tls: {mode: mutual, cert: c, key: k, ca: a}"), ShouldBeNil)
+		for text, field := range map[string]string{
+			"":                                   "peer_tls",
+			"peer_tls: {cert: c, key: k, ca: a}": "peer_tls.mode",
+			"peer_tls: {mode: none}":             "peer_tls.mode",
+			"peer_tls: {mode: mutual, cert: c, key: k}": "peer_tls.ca",
+			"peer_tls: {mode: plain, cert: c}":          "peer_tls.cert",
+			"peer_tls: {mode: plain, reload: 0s}":       "peer_tls.reload",
+		} {
+			err := with(text)
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, field)
+		}
+	})
+}
--- a/node/settings/template.go
+++ b/node/settings/template.go
@@ -7,7 +7,7 @@
 func Template() string {
 	d := Default()
 	return fmt.Sprintf(template,
-		d.Platform.Timeout, d.Platform.Wait, d.Preset, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
+		d.Platform.Timeout, d.Platform.Wait, d.PeerTLS.Reload, d.Preset, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
 }
 
 const template = `# Settings of one auburnladder-node. Values under "required" have no default.
@@ -46,6 +46,18 @@
 # writes it; without it an audit finds this VM not compliant.
 # node_key: programma-1:...
 
+# required: how connections between nodes are protected. mutual: each node proves its VM
+# with a certificate that holds the URI auburnladder://vm/ID; plain: any process that
+# reaches a node is believed.
+peer_tls:
+  mode: plain
+  # mode: mutual
+  # cert: /etc/auburnladder/node.pem  # the node's certificate, then intermediate ones
+  # key: /etc/auburnladder/node.key
+  # ca: /etc/auburnladder/ca.pem      # authorities that nodes trust
+  # Time between two looks at the files; changed ones are taken over without a restart.
+  reload: %s
+
 # convergence spreads releases fastest; bytes spends the fewest control bytes.
 preset: %s
 
