--- a/core/distribution/candidate.go
+++ b/core/distribution/candidate.go
@@ -152,26 +152,26 @@
 }
 
 // admit verifies an approved manifest from a peer or the source and makes it a
-// candidate. It reports whether the manifest is valid and approved.
-func (m *Machine) admit(a *release.Approved, from string) bool {
+// candidate. It returns nil if the manifest is not valid or not approved.
+func (m *Machine) admit(a *release.Approved, from string) *release.Verified {
 	v, err := m.trust.Verify(a)
 	if err == nil {
 		err = m.checkSize(v)
 	}
 	if err != nil {
 		m.refuse(claimedVersion(a), approvedDigest(a), from, err)
-		return false
+		return nil
 	}
 	m.noteConflict(v.Version, true)
 	if m.held != nil && !v.Version.Newer(m.held.Version) {
-		return true
+		return v
 	}
 	c := m.candidate(v.Version)
 	if c.verified == nil {
 		c.verified = v
 		c.startRound()
 	}
-	return true
+	return v
 }
 
 func (m *Machine) checkSize(v *release.Verified) error {
@@ -191,13 +191,14 @@
 	if m.phase == PhaseStarting && !m.mayStartWith(now, c.version) {
 		return false
 	}
-	snapshot, err := mesh.Build(c.verified, m.chunks.get)
+	snapshot, err := mesh.Rebuild(m.snapshot, c.verified, m.chunks.get)
 	if err != nil {
 		m.refuse(c.version, c.version.Digest, "", err)
 		delete(m.candidates, c.version)
 		return true
 	}
 	m.hold(c.verified)
+	m.snapshot = snapshot
 	m.emit(Apply{Snapshot: snapshot})
 	if m.phase == PhaseStarting {
 		m.setPhase(PhaseServing)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
+	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/gofiber/fiber/v3"
@@ -51,6 +52,7 @@
 	peers   *peers.Set
 	driver  *distribution.Driver
 	egress  *proxy.Egress
+	tracer  *tracing.Tracer
 	drainer *proxy.Drainer
 	// tls is nil if connections between nodes are plain.
 	tls      *peertls.Transport
@@ -80,10 +82,15 @@
 	if n.tls, err = newPeerTLS(cfg, log); err != nil {
 		return nil, err
 	}
-	n.router = proxy.NewRouter(st, log)
+	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
+	if err != nil {
+		return nil, err
+	}
+	n.egress.Tracer = n.tracer
 	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
@@ -162,24 +169,6 @@
 	return err
 }
 
-func (n *Node) peersConfig() peers.Config {
-	cfg := peers.DefaultConfig()
-	if n.tls != nil {
-		cfg.Transport = n.tls
-	}
-	return cfg
-}
-
-// newPeerTLS returns the transport that the settings ask for, nil for a plain one.
-func newPeerTLS(cfg *settings.Settings, log zerolog.Logger) (*peertls.Transport, error) {
-	if cfg.PeerTLS.Mode != settings.PeerTLSMutual {
-		log.Warn().Str("event", "peers-plain").Msg("connections between nodes are plain, as the settings say")
-		return nil, nil
-	}
-	files := &peertls.Files{Cert: cfg.PeerTLS.Cert, Key: cfg.PeerTLS.Key, CA: cfg.PeerTLS.CA}
-	return peertls.New(cfg.VM.ID, files, log)
-}
-
 // Drain takes the server out of service for the given reason; Run returns afterwards.
 // It may be called from any goroutine while Run runs, also repeatedly.
 func (n *Node) Drain(ctx context.Context, r drain.Reason) {
@@ -220,7 +209,15 @@
 }
 
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
-	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Router: n.router, Caller: caller, Log: n.log}
+	ingress := &proxy.Ingress{
+		State:    n.state,
+		Sessions: n.peers,
+		Router:   n.router,
+		Caller:   caller,
+		Paused:   n.driver.Paused,
+		Tracer:   n.tracer,
+		Log:      n.log,
+	}
 	srv := ingress.NewServer()
 	n.callers = append(n.callers, srv)
 	return serve(name, addr, srv.Serve)
@@ -232,6 +229,11 @@
 	}
 	n.stopCallers()
 	n.peers.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	if err := n.tracer.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Str("event", "spans-lost").Msg("spans were not exported")
+	}
 	for _, l := range n.listens {
 		_ = l.Close()
 	}
