--- a/e2e/harness/cluster.go
+++ b/e2e/harness/cluster.go
@@ -206,6 +206,7 @@
 listen: {peer: "%s", caller: "%s", admin: "%s"}
 server: {address: "%s"}
 platform: {addresses: ["%s"]}
+peer_tls: {mode: plain}
 approval_keys: ["%s"]
 `, vm.ID, vm.Service, vm.Domain, vm.Region, vm.Peer, vm.Caller, vm.Admin,
 		vm.serverAddress(), c.platformAddress(), strings.TrimSpace(string(key)))
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/peers"
+	"auburnladder.example/node/peertls"
 	"auburnladder.example/node/platform"
 	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy"
@@ -42,17 +43,19 @@
 
 // Node is one running node.
 type Node struct {
-	cfg      *settings.Settings
-	log      zerolog.Logger
-	state    *state.State
-	reader   *query.Reader
-	command  *command.Commander
-	prober   *probe.Prober
-	peers    *peers.Set
-	driver   *distribution.Driver
-	egress   *proxy.Egress
-	tracer   *tracing.Tracer
-	drainer  *proxy.Drainer
+	cfg     *settings.Settings
+	log     zerolog.Logger
+	state   *state.State
+	reader  *query.Reader
+	command *command.Commander
+	prober  *probe.Prober
+	peers   *peers.Set
+	driver  *distribution.Driver
+	egress  *proxy.Egress
+	tracer  *tracing.Tracer
+	drainer *proxy.Drainer
+	// tls is nil if connections between nodes are plain.
+	tls      *peertls.Transport
 	callers  []*fasthttp.Server
 	router   *proxy.Router
 	listens  []net.Listener
@@ -76,6 +79,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.tls, err = newPeerTLS(cfg, log); err != nil {
+		return nil, err
+	}
 	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
@@ -117,7 +123,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	n.peers = peers.New(ctx, peers.DefaultConfig(), n.hello, n, n.log)
+	n.peers = peers.New(ctx, n.peersConfig(), n.hello, n, n.log)
 	var tasks conc.WaitGroup
 	serve := func(name string, addr netip.AddrPort, run func(net.Listener) error) error {
 		l, err := net.Listen("tcp", addr.String())
@@ -141,6 +147,9 @@
 		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 		tasks.Go(func() { n.router.Run(ctx) })
 		tasks.Go(func() { n.egress.Run(ctx) })
+		if n.tls != nil {
+			tasks.Go(func() { n.tls.Run(ctx, n.cfg.PeerTLS.Reload.Std()) })
+		}
 		tasks.Go(func() {
 			if n.drainer.Run(ctx) {
 				n.stopCallers()
