Test a paused failure domain; bound the waiting watches

TestPausedDomainCatchesUp pauses a domain over two releases and wakes it while the platform is down: it ends at the newest release and never holds an older one.

--- a/e2e/harness/cluster.go
+++ b/e2e/harness/cluster.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -238,6 +239,16 @@
 	return errors.Join(vm.Node.Signal(syscall.SIGCONT), c.Faults.Add(Fault{At: time.Now(), VM: vm.ID, Kind: NodeResumed}))
 }
 
+// InDomain returns the VMs of a failure domain.
+func (c *Cluster) InDomain(domain string) []*VM {
+	return slices.DeleteFunc(slices.Clone(c.VMs), func(vm *VM) bool { return vm.Domain != domain })
+}
+
+// Except returns all VMs but the given ones.
+func (c *Cluster) Except(vms []*VM) []*VM {
+	return slices.DeleteFunc(slices.Clone(c.VMs), func(vm *VM) bool { return slices.Contains(vms, vm) })
+}
+
 // Ready waits until a VM's node serves callers.
 func (c *Cluster) Ready(vm *VM) error {
 	return Eventually(vm.ID+" is ready", func() error {
--- a/e2e/harness/release.go
+++ b/e2e/harness/release.go
@@ -84,7 +84,12 @@
 
 // InForce waits until every node holds the release.
 func (c *Cluster) InForce(r *Release) error {
-	for _, vm := range c.VMs {
+	return c.InForceOn(r, c.VMs)
+}
+
+// InForceOn waits until the nodes of some VMs hold the release.
+func (c *Cluster) InForceOn(r *Release, vms []*VM) error {
+	for _, vm := range vms {
 		err := Eventually(fmt.Sprintf("release %d in force on %s", r.Sequence, vm.ID), func() error {
 			s, err := c.Status(vm)
 			if err != nil {
--- a/e2e/herd_test.go
+++ b/e2e/herd_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
@@ -15,6 +16,13 @@
 // test by 1 to 10, for measurements.
 const copiesVariable = "AUBURNLADDER_E2E_COPIES"
 
+// settledPolls is the number of successive looks that must find no more than maxWatches.
+const settledPolls = 100
+
+// maxWatches is the number of watches that wait at the platform in a settled fleet: of
+// 2 readers in each of 3 failure domains on each of 2 keys.
+const maxWatches = 2 * 3 * 2
+
 func TestHerdStaysWithinTheReadLimit(t *testing.T) {
 	Convey("When all nodes are killed and restarted at once, no read is over the limit", t, func() {
 		copies := 1
@@ -49,5 +57,16 @@
 		So(after.OverLimit, ShouldEqual, 0)
 		// Fewer reads than one per key and node: nodes learn from one another.
 		So(after.ReadsTotal-before.ReadsTotal, ShouldBeLessThan, uint64(5*len(c.VMs)))
+		settled := 0
+		So(harness.Eventually("only readers watch", func() error {
+			s, err := c.Stats()
+			if settled++; err != nil || s.WaitingWatches > maxWatches {
+				settled = 0
+			}
+			if settled < settledPolls {
+				return fmt.Errorf("%d watches wait, error %v", s.WaitingWatches, err)
+			}
+			return nil
+		}), ShouldBeNil)
 	})
 }
--- a/e2e/versions_test.go
+++ b/e2e/versions_test.go
@@ -69,3 +69,34 @@
 		So(harness.CheckHoldings(poller.Holdings.Records()), ShouldBeNil)
 	})
 }
+
+func TestPausedDomainCatchesUp(t *testing.T) {
+	Convey("A failure domain that was paused over two releases takes over the newest", t, func() {
+		c, first := start(t)
+		poller, err := c.StartPoller()
+		So(err, ShouldBeNil)
+		paused := c.InDomain("nl-central-c")
+		So(paused, ShouldHaveLength, 3)
+		for _, vm := range paused {
+			So(c.PauseNode(vm), ShouldBeNil)
+		}
+		awake := c.Except(paused)
+		second, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
+		So(err, ShouldBeNil)
+		So(c.Publish(second), ShouldBeNil)
+		So(c.InForceOn(second, awake), ShouldBeNil)
+		third, err := c.Amend(second, "inschrijving", "grace: 20s", "grace: 25s")
+		So(err, ShouldBeNil)
+		So(c.Publish(third), ShouldBeNil)
+		So(c.InForceOn(third, awake), ShouldBeNil)
+
+		// The platform can't help those that wake: they learn from their peers.
+		So(c.SetMode(platform.ModeDown), ShouldBeNil)
+		for _, vm := range paused {
+			So(c.ResumeNode(vm), ShouldBeNil)
+		}
+		So(c.InForce(third), ShouldBeNil)
+		poller.Stop()
+		So(harness.CheckHoldings(poller.Holdings.Records()), ShouldBeNil)
+	})
+}
