--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -14,6 +14,7 @@
 	commands := map[string]func() error{}
 	addCalls(app, commands)
 	distribution.Register(app, commands)
+	distribution.RegisterMemory(app, commands)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := commands[name](); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
