Verify a manifest delta without decoding the rebuilt manifest again

A delta that is not valid is refused and reported like a whole manifest, under a key of its own; after a failed round the manifest is asked for whole.

--- a/core/distribution/candidate.go
+++ b/core/distribution/candidate.go
@@ -162,6 +162,11 @@
 		m.refuse(claimedVersion(a), approvedDigest(a), from, err)
 		return nil
 	}
+	return m.follow(v)
+}
+
+// follow makes a verified manifest a candidate unless the held one is as new.
+func (m *Machine) follow(v *release.Verified) *release.Verified {
 	m.noteConflict(v.Version, true)
 	if m.held != nil && !v.Version.Newer(m.held.Version) {
 		return v
--- a/core/distribution/fetch.go
+++ b/core/distribution/fetch.go
@@ -22,7 +22,12 @@
 	if p := m.nextAnnouncer(c); p != "" {
 		f := m.newFetch(now, c.version, p, 0)
 		f.manifest = true
-		m.emit(FetchManifest{Fetch: f.id, Peer: p, Wanted: c.version, Base: m.versions().Held})
+		base := m.versions().Held
+		if c.failures > 0 {
+			// Deltas may be what failed.
+			base = release.Version{}
+		}
+		m.emit(FetchManifest{Fetch: f.id, Peer: p, Wanted: c.version, Base: base})
 		return false
 	}
 	if !c.sourceTried {
@@ -141,15 +146,13 @@
 }
 
 func (m *Machine) manifestReceived(e ManifestReceived) {
-	approved := e.Approved
-	if e.Delta != nil {
-		approved = m.rebuild(e.Delta)
-	}
-	if approved == nil {
-		m.endFetch(e.Fetch, false)
-		return
+	var v *release.Verified
+	switch {
+	case e.Delta != nil:
+		v = m.admitDelta(e.Delta, e.Peer)
+	case e.Approved != nil:
+		v = m.admit(e.Approved, e.Peer)
 	}
-	v := m.admit(approved, e.Peer)
 	if v != nil && m.fetch != nil && m.fetch.manifest && m.fetch.version == v.Version {
 		// A late answer to an earlier request serves as well.
 		m.fetch = nil
@@ -157,20 +160,23 @@
 	m.endFetch(e.Fetch, false)
 }
 
-// rebuild applies a delta to the manifest that it is based on. It returns nil if that
-// base is not at hand or the delta is not valid.
-func (m *Machine) rebuild(d *release.Delta) *release.Approved {
-	for _, v := range m.history {
-		if v.Version != d.Base {
-			continue
-		}
-		approved, err := d.Apply(v)
-		if err != nil {
-			return nil
-		}
-		return approved
+// admitDelta is admit for a manifest that arrived as a delta. It returns nil if the base
+// is not at hand or the delta is not valid; then the manifest may still come whole.
+func (m *Machine) admitDelta(d *release.Delta, from string) *release.Verified {
+	base := m.inHistory(d.Base)
+	if base == nil {
+		return nil
+	}
+	v, err := m.trust.VerifyDelta(base, d)
+	if err == nil {
+		err = m.checkSize(v)
+	}
+	if err != nil {
+		// The key names the delta, so that the whole manifest is not refused with it.
+		m.refuse(d.Version, release.DigestOf([]byte("delta "+from+d.Version.String())), from, err)
+		return nil
 	}
-	return nil
+	return m.follow(v)
 }
 
 func (m *Machine) chunksReceived(e ChunksReceived) {
--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -171,6 +171,22 @@
 			So(len(m.candidates), ShouldBeLessThanOrEqualTo, maxCandidates)
 			stays()
 		})
+		Convey("a forged delta is refused and reported, and does not refuse the release", func() {
+			m := n.nodes[n.vms[0].ID].machine
+			b := n.fixture.build(13, old.version.Digest, 13)
+			base, err := n.fixture.trust.Verify(old.approved)
+			So(err, ShouldBeNil)
+			target, err := n.fixture.trust.Verify(b.approved)
+			So(err, ShouldBeNil)
+			d := release.NewDelta(base, target)
+			d.Approvals = b.forge().Approvals
+			report, found := find[Report](m.Step(n.now, ManifestReceived{Peer: n.vms[1].ID, Delta: d}))
+			So(found, ShouldBeTrue)
+			So(report.Kind, ShouldEqual, ReportRefused)
+			So(m.Versions().Held, ShouldResemble, old.version)
+			n.publish(b)
+			So(n.settle(b.version), ShouldBeTrue)
+		})
 		Convey("a release that is approved later is applied then", func() {
 			b := n.fixture.build(13, old.version.Digest, 13)
 			n.publish(b)
--- a/core/release/approval.go
+++ b/core/release/approval.go
@@ -109,6 +109,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return t.verify(m, a)
+}
+
+// verify checks the approvals of a, whose manifest is m.
+func (t *Trust) verify(m *Manifest, a *Approved) (*Verified, error) {
 	signed := signedBytes(a.Manifest)
 	for _, ap := range a.Approvals {
 		key, known := t.keys[ap.KeyID]
--- a/core/release/delta.go
+++ b/core/release/delta.go
@@ -61,11 +61,25 @@
 // Apply rebuilds the approved manifest of d.Version. The rebuilt bytes must have the
 // digest of that version; the approvals are not checked.
 func (d *Delta) Apply(base *Verified) (*Approved, error) {
-	if err := d.Validate(); err != nil {
+	_, approved, err := d.rebuild(base)
+	return approved, err
+}
+
+// VerifyDelta rebuilds the manifest of d.Version from base and checks its approvals.
+func (t *Trust) VerifyDelta(base *Verified, d *Delta) (*Verified, error) {
+	m, approved, err := d.rebuild(base)
+	if err != nil {
 		return nil, err
 	}
+	return t.verify(m, approved)
+}
+
+func (d *Delta) rebuild(base *Verified) (*Manifest, *Approved, error) {
+	if err := d.Validate(); err != nil {
+		return nil, nil, err
+	}
 	if base.Version != d.Base {
-		return nil, fmt.Errorf("manifest delta: base is %s, expected %s", base.Version, d.Base)
+		return nil, nil, fmt.Errorf("manifest delta: base is %s, expected %s", base.Version, d.Base)
 	}
 	m := &Manifest{
 		Format:     FormatVersion,
@@ -76,12 +90,12 @@
 	}
 	encoded, err := m.Encode()
 	if err != nil {
-		return nil, fmt.Errorf("manifest delta to %s: %w", d.Version, err)
+		return nil, nil, fmt.Errorf("manifest delta to %s: %w", d.Version, err)
 	}
 	if DigestOf(encoded) != d.Version.Digest {
-		return nil, fmt.Errorf("manifest delta to %s: rebuilt manifest has another digest", d.Version)
+		return nil, nil, fmt.Errorf("manifest delta to %s: rebuilt manifest has another digest", d.Version)
 	}
-	return &Approved{Manifest: encoded, Approvals: d.Approvals}, nil
+	return m, &Approved{Manifest: encoded, Approvals: d.Approvals}, nil
 }
 
 // merge returns the chunks of base without removed ones and with changed ones.
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 
@@ -79,9 +80,14 @@
 		if !bytes.Equal(approved.Manifest, target.Approved.Manifest) {
 			rt.Fatalf("rebuilt %s, expected %s", approved.Manifest, target.Approved.Manifest)
 		}
-		if _, err := trust.Verify(approved); err != nil {
+		whole, err := trust.Verify(approved)
+		if err != nil {
 			rt.Fatal(err)
 		}
+		short, err := trust.VerifyDelta(base, NewDelta(base, target))
+		if err != nil || !reflect.DeepEqual(short, whole) {
+			rt.Fatalf("verified %+v by the delta, %+v by the whole manifest: %v", short, whole, err)
+		}
 	})
 }
 
@@ -108,6 +114,8 @@
 				change(d)
 				_, err := d.Apply(base)
 				So(err, ShouldNotBeNil)
+				_, err = trust.VerifyDelta(base, d)
+				So(err, ShouldNotBeNil)
 			})
 		}
 	})
@@ -137,6 +145,12 @@
 		_, err = both.Verify(&Approved{Manifest: other, Approvals: approved.Approvals})
 		So(err, ShouldNotBeNil)
 	})
+	Convey("A delta needs an approval like a whole manifest", t, func() {
+		base := verified(t, newKeyPair, newTrust, manifestOf(1, map[string]int{"a": 1}))
+		target := verified(t, newKeyPair, newTrust, manifestOf(2, map[string]int{"a": 2}))
+		_, err := oldTrust.VerifyDelta(base, NewDelta(base, target))
+		So(err, ShouldNotBeNil)
+	})
 	Convey("Approvals by the old and the new key may overlap", t, func() {
 		twice := oldKey.Approve(approved)
 		for _, trust := range []*Trust{oldTrust, newTrust} {
