--- a/cli/query/status.go
+++ b/cli/query/status.go
@@ -101,7 +101,7 @@
 	}
 	row.Reader = s.Reader
 	row.State = string(s.Drain)
-	if s.Server == statusapi.ServerDown || s.Server == statusapi.ServerShedding {
+	if s.Server == statusapi.ServerDown {
 		row.State += ", server " + string(s.Server)
 	}
 	row.status = s
@@ -144,8 +144,12 @@
 	return result
 }
 
+// addConflicts adds conflicts that no newer release has ended.
 func (r *fleetStatus) addConflicts(conflicts []statusapi.Conflict) {
 	for _, c := range conflicts {
+		if c.Kept.Sequence < r.Newest.Sequence {
+			continue
+		}
 		known := slices.ContainsFunc(r.Conflicts, func(o statusapi.Conflict) bool {
 			return o.Kept == c.Kept && o.Dropped == c.Dropped
 		})
--- a/node/node.go
+++ b/node/node.go
@@ -18,12 +18,14 @@
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/peers"
+	"auburnladder.example/node/peertls"
 	"auburnladder.example/node/platform"
 	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
+	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/gofiber/fiber/v3"
@@ -41,16 +43,19 @@
 
 // Node is one running node.
 type Node struct {
-	cfg      *settings.Settings
-	log      zerolog.Logger
-	state    *state.State
-	reader   *query.Reader
-	command  *command.Commander
-	prober   *probe.Prober
-	peers    *peers.Set
-	driver   *distribution.Driver
-	egress   *proxy.Egress
-	drainer  *proxy.Drainer
+	cfg     *settings.Settings
+	log     zerolog.Logger
+	state   *state.State
+	reader  *query.Reader
+	command *command.Commander
+	prober  *probe.Prober
+	peers   *peers.Set
+	driver  *distribution.Driver
+	egress  *proxy.Egress
+	tracer  *tracing.Tracer
+	drainer *proxy.Drainer
+	// tls is nil if connections between nodes are plain.
+	tls      *peertls.Transport
 	callers  []*fasthttp.Server
 	router   *proxy.Router
 	listens  []net.Listener
@@ -74,10 +79,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.tls, err = newPeerTLS(cfg, log); err != nil {
+		return nil, err
+	}
 	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
 	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
+	if err != nil {
+		return nil, err
+	}
+	n.egress.Tracer = n.tracer
 	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
@@ -110,7 +123,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	n.peers = peers.New(ctx, peers.DefaultConfig(), n.hello, n, n.log)
+	n.peers = peers.New(ctx, n.peersConfig(), n.hello, n, n.log)
 	var tasks conc.WaitGroup
 	serve := func(name string, addr netip.AddrPort, run func(net.Listener) error) error {
 		l, err := net.Listen("tcp", addr.String())
@@ -134,6 +147,9 @@
 		tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 		tasks.Go(func() { n.router.Run(ctx) })
 		tasks.Go(func() { n.egress.Run(ctx) })
+		if n.tls != nil {
+			tasks.Go(func() { n.tls.Run(ctx, n.cfg.PeerTLS.Reload.Std()) })
+		}
 		tasks.Go(func() {
 			if n.drainer.Run(ctx) {
 				n.stopCallers()
@@ -193,7 +209,15 @@
 }
 
 func (n *Node) serveCallers(serve serveFunc, name string, addr netip.AddrPort, caller string) error {
-	ingress := &proxy.Ingress{State: n.state, Sessions: n.peers, Router: n.router, Caller: caller, Log: n.log}
+	ingress := &proxy.Ingress{
+		State:    n.state,
+		Sessions: n.peers,
+		Router:   n.router,
+		Caller:   caller,
+		Paused:   n.driver.Paused,
+		Tracer:   n.tracer,
+		Log:      n.log,
+	}
 	srv := ingress.NewServer()
 	n.callers = append(n.callers, srv)
 	return serve(name, addr, srv.Serve)
@@ -205,6 +229,11 @@
 	}
 	n.stopCallers()
 	n.peers.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	if err := n.tracer.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Str("event", "spans-lost").Msg("spans were not exported")
+	}
 	for _, l := range n.listens {
 		_ = l.Close()
 	}
