--- a/core/distribution/vmlist.go
+++ b/core/distribution/vmlist.go
@@ -1,6 +1,11 @@
 package distribution
 
-import "time"
+import (
+	"time"
+
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/vmlist"
+)
 
 // pursueVMList fetches the VM list from a peer that holds a newer one.
 func (m *Machine) pursueVMList(now time.Time) {
@@ -28,3 +33,28 @@
 	}
 	m.offerVMList(e.Revision, e.Data, e.Peer)
 }
+
+func (m *Machine) vmListRead(e SourceValue) {
+	if !e.Found {
+		return
+	}
+	m.offerVMList(e.Revision, e.Value, "")
+}
+
+// offerVMList takes a VM list over if it is valid and newer than the held one.
+func (m *Machine) offerVMList(revision uint64, data []byte, from string) {
+	if m.list != nil && revision <= m.list.Revision {
+		return
+	}
+	list, err := vmlist.Parse(data, revision)
+	if err != nil {
+		m.refuse(release.Version{}, release.DigestOf(data), from, err)
+		return
+	}
+	if len(list.VMs) == 0 {
+		return
+	}
+	m.list = list
+	m.listData = data
+	m.emit(ApplyVMList{List: list})
+}
