Export spans over HTTP without linking gRPC

Cause: the library's OTLP client over HTTP links gRPC, whose pages and descriptors stay resident on every node, although nothing uses them. Change: a small otlptrace.Client posts TracesData, whose encoding is the request's. Ruled out: a build tag, since operators choose the exporter by settings.

--- a/node/tracing/tracing.go
+++ b/node/tracing/tracing.go
@@ -12,7 +12,7 @@
 	"auburnladder.example/node/state"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
@@ -75,7 +75,7 @@
 	case settings.TraceStdout:
 		return stdouttrace.New(stdouttrace.WithWriter(os.Stdout))
 	case settings.TraceOTLPHTTP:
-		return otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(cfg.Endpoint.String()), otlptracehttp.WithInsecure())
+		return otlptrace.New(ctx, newOTLPClient(cfg.Endpoint))
 	default:
 		return nil, nil
 	}
--- a/node/tracing/tracing_test.go
+++ b/node/tracing/tracing_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -10,6 +14,8 @@
 	"auburnladder.example/node/state"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 const parent = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
@@ -38,3 +44,33 @@
 		So(tr.Shutdown(context.Background()), ShouldBeNil)
 	})
 }
+
+func TestSpansReachAnOTLPReceiver(t *testing.T) {
+	Convey("A receiver gets the spans that were recorded before the shutdown", t, func() {
+		var got tracepb.TracesData
+		receiver := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			if r.URL.Path == otlpPath {
+				_ = proto.Unmarshal(body, &got)
+			}
+		}))
+		defer receiver.Close()
+		cfg := settings.Trace{
+			Exporter:    settings.TraceOTLPHTTP,
+			Endpoint:    netip.MustParseAddrPort(receiver.Listener.Addr().String()),
+			SampleRatio: 1,
+		}
+		tr, err := New(context.Background(), cfg, state.Identity{VM: "a", Service: "s"})
+		So(err, ShouldBeNil)
+		tr.Start(HopIngress, "").End(verdict.Ran, nil)
+		So(tr.Shutdown(context.Background()), ShouldBeNil)
+		So(got.GetResourceSpans(), ShouldHaveLength, 1)
+		So(got.GetResourceSpans()[0].GetScopeSpans()[0].GetSpans()[0].GetName(), ShouldEqual, "ingress")
+	})
+	Convey("An upload that the receiver refuses is an error", t, func() {
+		receiver := httptest.NewServer(http.NotFoundHandler())
+		defer receiver.Close()
+		c := newOTLPClient(netip.MustParseAddrPort(receiver.Listener.Addr().String()))
+		So(c.UploadTraces(context.Background(), nil), ShouldNotBeNil)
+	})
+}
