--- a/node/configuration.go
+++ b/node/configuration.go
@@ -17,6 +17,7 @@
 	}
 	machine.SourceTimeout = n.cfg.Platform.Timeout.Std()
 	machine.WatchWait = n.cfg.Platform.Wait.Std()
+	machine.FleetSize = n.cfg.Platform.FleetSize
 	vm := n.cfg.VM
 	self := vmlist.VM{ID: vm.ID, Service: vm.Service, Domain: vm.Domain, Region: vm.Region, Peer: n.cfg.Listen.Peer}
 	return distribution.Config{Machine: machine, Self: self, Trust: trust}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -102,6 +102,10 @@
 	Timeout yamlcheck.Duration `yaml:"timeout"`
 	// Wait bounds one watch. Longer costs fewer calls.
 	Wait yamlcheck.Duration `yaml:"wait"`
+	// FleetSize is the number of VMs to expect before the VM list is known. It spreads
+	// the first reads of a fleet that starts at once: larger delays every start, smaller
+	// lets a large fleet exceed the service's limit for a moment.
+	FleetSize int `yaml:"fleet_size"`
 }
 
 // RoutingPolicy names a way to choose a backend server.
@@ -167,6 +171,7 @@
 const (
 	defaultPlatformTimeout = 2 * time.Second
 	defaultPlatformWait    = 30 * time.Second
+	defaultFleetSize       = 300
 	defaultSampleRatio     = 0.01
 	defaultPeerTLSReload   = 10 * time.Second
 )
@@ -175,8 +180,9 @@
 func Default() Settings {
 	return Settings{
 		Platform: Platform{
-			Timeout: yamlcheck.Duration(defaultPlatformTimeout),
-			Wait:    yamlcheck.Duration(defaultPlatformWait),
+			Timeout:   yamlcheck.Duration(defaultPlatformTimeout),
+			Wait:      yamlcheck.Duration(defaultPlatformWait),
+			FleetSize: defaultFleetSize,
 		},
 		PeerTLS: PeerTLS{Reload: yamlcheck.Duration(defaultPeerTLSReload)},
 		Preset:  PresetConvergence,
@@ -277,6 +283,9 @@
 	if p.Wait.Std() < time.Second {
 		problems = append(problems, yamlcheck.Problem{Field: "wait", Found: p.Wait.String(), Expected: "1s or more"})
 	}
+	if p.FleetSize < 1 {
+		problems = append(problems, yamlcheck.Problem{Field: "fleet_size", Found: fmt.Sprint(p.FleetSize), Expected: "1 or more"})
+	}
 	return problems
 }
 
--- a/node/settings/template.go
+++ b/node/settings/template.go
@@ -7,7 +7,7 @@
 func Template() string {
 	d := Default()
 	return fmt.Sprintf(template,
-		d.Platform.Timeout, d.Platform.Wait, d.PeerTLS.Reload, d.Preset, d.Routing.Policy, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
+		d.Platform.Timeout, d.Platform.Wait, d.Platform.FleetSize, d.PeerTLS.Reload, d.Preset, d.Routing.Policy, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
 }
 
 const template = `# Settings of one auburnladder-node. Values under "required" have no default.
@@ -37,6 +37,10 @@
   timeout: %s
   # Bounds one watch. Longer costs fewer calls.
   wait: %s
+  # VMs to expect before the VM list is known: spreads the first reads of a fleet that
+  # starts at once. Larger delays every start, smaller lets a large fleet exceed the
+  # service's limit for a moment.
+  fleet_size: %d
 
 # required: public keys whose approval counts, as keygen writes them to FILE.pub.
 approval_keys:
