--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -17,6 +17,11 @@
 	// QueueLimit bounds the waiting requests. A longer queue absorbs longer bursts
 	// and makes every waiter later. Unit: requests.
 	QueueLimit int
+	// WaitShare is the share of its remaining time that a request may wait. The rest is
+	// left for the work, or for another server after a refusal. A large share helps
+	// over short bursts and leaves refused requests too late to be tried elsewhere.
+	// Unit: 0 to 1.
+	WaitShare float64
 	// SlowStart is how long a cold server takes to reach Slots; 0 for at once.
 	SlowStart time.Duration
 	// SlowStartShare is the share of Slots that a cold server starts with. A small
@@ -53,6 +58,7 @@
 	return Config{
 		Slots:            1,
 		QueueLimit:       2,
+		WaitShare:        0.25,
 		SlowStartShare:   0.3,
 		DecreaseFactor:   0.7,
 		DecreaseInterval: 100 * time.Millisecond,
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -39,12 +39,16 @@
 // Waiter is a queued request. Done is closed once it was granted or refused.
 type Waiter struct {
 	req      Request
+	giveUp   time.Time
 	done     chan struct{}
 	decision Decision
 	flow     *flow
 	index    int
 }
 
+// GiveUp returns when to call Abandon if no decision was made by then.
+func (w *Waiter) GiveUp() time.Time { return w.giveUp }
+
 // Done returns a channel that is closed once the decision is made.
 func (w *Waiter) Done() <-chan struct{} { return w.done }
 
@@ -85,7 +89,7 @@
 			// A slot may have come free since s was read; then the swap fails.
 			s = l.load()
 			if !s.closed() && !s.free() && l.swap(s, s.addWaiting(1)) {
-				return Decision{Outcome: Queued, Waiter: l.queue.push(req)}
+				return Decision{Outcome: Queued, Waiter: l.queue.push(req, l.giveUp(now, req))}
 			}
 		}
 	}
@@ -95,7 +99,7 @@
 // caller that takes the largest share if the queue is full.
 func (l *Limiter) makeRoom(now time.Time, s state, req Request) bool {
 	start := now.Add(l.expectedWait(s, req))
-	if start.Add(l.times.estimate(req.Route)).After(req.Deadline) {
+	if start.After(l.giveUp(now, req)) || start.Add(l.times.estimate(req.Route)).After(req.Deadline) {
 		return false
 	}
 	if s.waiting() < l.queueLimit {
@@ -110,6 +114,12 @@
 	return true
 }
 
+// giveUp returns until when req may wait.
+func (l *Limiter) giveUp(now time.Time, req Request) time.Time {
+	remaining := req.Deadline.Sub(now)
+	return now.Add(time.Duration(float64(remaining) * l.cfg.WaitShare))
+}
+
 // expectedWait estimates how long req would wait in the queue.
 func (l *Limiter) expectedWait(s state, req Request) time.Duration {
 	ahead := l.queue.ahead(req)
@@ -148,7 +158,8 @@
 	l.dispatch(now)
 }
 
-// Abandon gives up a queued request, at its deadline or because its caller went away.
+// Abandon gives up a queued request, because it waited long enough or its caller went
+// away.
 // If a decision was made before, it stands and is returned: a granted request must
 // then be ended by Release.
 func (l *Limiter) Abandon(now time.Time, w *Waiter) Decision {
@@ -158,8 +169,11 @@
 		return w.decision
 	}
 	reason := ReasonCancelled
-	if !now.Before(w.req.Deadline) {
+	switch {
+	case !now.Before(w.req.Deadline):
 		reason = ReasonDeadline
+	case !now.Before(w.giveUp):
+		reason = ReasonOverload
 	}
 	l.queue.remove(w)
 	l.update(func(s state) state { return s.addWaiting(-1) })
@@ -204,6 +218,14 @@
 	l.dispatch(now)
 }
 
+// Refresh lets the limit of a cold server rise with time. It is called now and then.
+func (l *Limiter) Refresh(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refreshLimit(now)
+	l.dispatch(now)
+}
+
 // Load returns the counts at this moment.
 func (l *Limiter) Load() Load {
 	s := l.load()
@@ -226,9 +248,9 @@
 			return
 		}
 		w := l.queue.pop(l.times.cost)
-		if l.times.tooLate(now, w.req) {
+		if reason := l.lateWaiter(now, w); reason != ReasonNone {
 			l.update(func(s state) state { return s.addWaiting(-1) })
-			w.finish(l.refuseNew(ReasonDeadline))
+			w.finish(l.refuseNew(reason))
 			continue
 		}
 		l.update(func(s state) state { return s.addWaiting(-1).addInFlight(1) })
@@ -236,6 +258,18 @@
 	}
 }
 
+// lateWaiter returns why a waiter must not be started any more, or ReasonNone.
+func (l *Limiter) lateWaiter(now time.Time, w *Waiter) Reason {
+	switch {
+	case l.times.tooLate(now, w.req):
+		return ReasonDeadline
+	case now.After(w.giveUp):
+		return ReasonOverload
+	default:
+		return ReasonNone
+	}
+}
+
 // refuseNew returns a refusal with a hint when the present queue will have ended.
 func (l *Limiter) refuseNew(reason Reason) Decision {
 	s := l.load()
--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -49,7 +49,7 @@
 	if w.Decision().Outcome != Granted {
 		return
 	}
-	if !m.now.Before(w.req.Deadline) {
+	if !m.now.Before(w.req.Deadline) || m.now.After(w.GiveUp()) {
 		t.Fatalf("waiter granted %v after its deadline", m.now.Sub(w.req.Deadline))
 	}
 	m.inFlight++
@@ -136,6 +136,7 @@
 			"close":   func(*rapid.T) { m.l.Close(); m.closed = true },
 			"reopen":  func(*rapid.T) { m.l.Reopen(); m.closed = false },
 			"restart": func(*rapid.T) { m.l.Restart(m.now) },
+			"refresh": func(*rapid.T) { m.l.Refresh(m.now) },
 			"":        m.check,
 		})
 		for m.inFlight > 0 {
@@ -232,6 +233,15 @@
 			So(d.Reason, ShouldEqual, ReasonOverload)
 			So(d.RetryAfter, ShouldEqual, 50*time.Millisecond)
 		})
+		Convey("a waiter gives up while time is left to try another server", func() {
+			long := Request{Route: "read", Deadline: epoch.Add(time.Second)}
+			l.Acquire(epoch, long)
+			l.Acquire(epoch, long)
+			w := l.Acquire(epoch, long).Waiter
+			So(w.GiveUp(), ShouldEqual, epoch.Add(250*time.Millisecond))
+			d := l.Abandon(w.GiveUp(), w)
+			So(d.Reason, ShouldEqual, ReasonOverload)
+		})
 		Convey("one in each probe interval is let through, so that a recovery is seen", func() {
 			later := epoch.Add(2 * time.Second)
 			short.Deadline = later.Add(50 * time.Millisecond)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -42,13 +42,13 @@
 	return &fairQueue{flows: make(map[flowKey]*flow)}
 }
 
-func (q *fairQueue) push(req Request) *Waiter {
+func (q *fairQueue) push(req Request, giveUp time.Time) *Waiter {
 	f := q.flow(req)
 	if len(f.waiters) == 0 {
 		f.start = max(f.start, q.virtual)
 		q.active = append(q.active, f)
 	}
-	w := &Waiter{req: req, flow: f, done: make(chan struct{})}
+	w := &Waiter{req: req, giveUp: giveUp, flow: f, done: make(chan struct{})}
 	heap.Push(&f.waiters, w)
 	return w
 }
--- a/e2e/harness/cluster.go
+++ b/e2e/harness/cluster.go
@@ -242,6 +242,12 @@
 	return c.send(http.MethodPost, "/admin/stats/reset", nil)
 }
 
+// MarkLeaving publishes a list in which a VM is marked as leaving or not.
+func (c *Cluster) MarkLeaving(vm *VM, leaving bool) error {
+	vm.Leaving = leaving
+	return c.publishVMs()
+}
+
 func (c *Cluster) publishVMs() error {
 	list := &vmlist.List{}
 	for _, vm := range c.VMs {
--- a/e2e/harness/load.go
+++ b/e2e/harness/load.go
@@ -62,7 +62,7 @@
 // Load sends calls to random nodes until it is stopped.
 type Load struct {
 	Calls   *Journal[Call]
-	cluster *Cluster
+	nodes   []*VM
 	client  *http.Client
 	next    atomic.Uint64
 	stop    context.CancelFunc
@@ -72,12 +72,17 @@
 // StartLoad starts workers that send one call after the other. Calls in flight are
 // never cancelled.
 func (c *Cluster) StartLoad(workers int, seed uint64) (*Load, error) {
+	return c.StartLoadAt(c.VMs, workers, seed)
+}
+
+// StartLoadAt sends all calls to the nodes of some VMs.
+func (c *Cluster) StartLoadAt(nodes []*VM, workers int, seed uint64) (*Load, error) {
 	calls, err := NewJournal[Call](filepath.Join(c.Dir, "calls.jsonl"))
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	l := &Load{Calls: calls, cluster: c, stop: stop, client: &http.Client{
+	l := &Load{Calls: calls, nodes: nodes, stop: stop, client: &http.Client{
 		Timeout: callTimeout,
 		// The standard client sends a call again on a reused connection that broke. A
 		// connection for each call rules that out.
@@ -110,7 +115,7 @@
 func (l *Load) work(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		k := kinds[rng.IntN(len(kinds))]
-		vm := l.cluster.VMs[rng.IntN(len(l.cluster.VMs))]
+		vm := l.nodes[rng.IntN(len(l.nodes))]
 		call := l.send(k, vm, rng)
 		if err := l.Calls.Add(call); err != nil {
 			return
--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // Process is one started process.
@@ -70,8 +71,17 @@
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return 0, err
 	}
-	<-p.done
-	return p.cmd.ProcessState.ExitCode(), nil
+	return p.ExitCode()
+}
+
+// ExitCode waits for the end of the process, at most for Patience.
+func (p *Process) ExitCode() (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(Patience):
+		return 0, fmt.Errorf("process %s: still runs", p.Name)
+	}
 }
 
 // Ended is closed when the process has ended.
--- a/node/proxy/egress.go
+++ b/node/proxy/egress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,8 @@
 		case <-ticker.C:
 			e.pause.Observe(e.Now())
 			e.adoptServer()
+			e.limiter.Refresh(e.Now())
+			e.publishLoad()
 			e.pool.sweep()
 		}
 	}
@@ -97,6 +100,20 @@
 	return snap.Service(e.State.Identity.Service)
 }
 
+// publishLoad shows the limiter's counts among the metrics.
+func (e *Egress) publishLoad() {
+	l := e.limiter.Load()
+	egressStats.Set("in_flight", gauge(l.InFlight))
+	egressStats.Set("queued", gauge(l.Queued))
+	egressStats.Set("limit", gauge(l.Limit))
+}
+
+// gauge is a metric that is replaced as a whole.
+type gauge int
+
+// String implements expvar.Var.
+func (g gauge) String() string { return strconv.Itoa(int(g)) }
+
 // adoptServer takes the server's limits from the release in force.
 func (e *Egress) adoptServer() {
 	svc := e.service()
--- a/node/proxy/egress_exchange.go
+++ b/node/proxy/egress_exchange.go
@@ -92,12 +92,7 @@
 		Deadline: x.deadline,
 	})
 	if d.Outcome == admission.Queued {
-		select {
-		case <-d.Waiter.Done():
-			d = d.Waiter.Decision()
-		case <-ctx.Done():
-			d = l.Abandon(x.egress.Now(), d.Waiter)
-		}
+		d = x.wait(ctx, d.Waiter)
 	}
 	if d.Outcome != admission.Granted {
 		return notAdmitted(d)
@@ -105,6 +100,21 @@
 	return nil
 }
 
+// wait follows a queued call until the limiter decides, the call has waited long enough
+// or is cancelled.
+func (x *exchange) wait(ctx context.Context, w *admission.Waiter) admission.Decision {
+	e := x.egress
+	timer := time.NewTimer(w.GiveUp().Sub(e.Now()))
+	defer timer.Stop()
+	select {
+	case <-w.Done():
+		return w.Decision()
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.limiter.Abandon(e.Now(), w)
+}
+
 // release gives the slot back once.
 func (x *exchange) release(res admission.Result) {
 	if x.released {
