--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -171,6 +171,22 @@
 			So(len(m.candidates), ShouldBeLessThanOrEqualTo, maxCandidates)
 			stays()
 		})
+		Convey("a forged delta is refused and reported, and does not refuse the release", func() {
+			m := n.nodes[n.vms[0].ID].machine
+			b := n.fixture.build(13, old.version.Digest, 13)
+			base, err := n.fixture.trust.Verify(old.approved)
+			So(err, ShouldBeNil)
+			target, err := n.fixture.trust.Verify(b.approved)
+			So(err, ShouldBeNil)
+			d := release.NewDelta(base, target)
+			d.Approvals = b.forge().Approvals
+			report, found := find[Report](m.Step(n.now, ManifestReceived{Peer: n.vms[1].ID, Delta: d}))
+			So(found, ShouldBeTrue)
+			So(report.Kind, ShouldEqual, ReportRefused)
+			So(m.Versions().Held, ShouldResemble, old.version)
+			n.publish(b)
+			So(n.settle(b.version), ShouldBeTrue)
+		})
 		Convey("a release that is approved later is applied then", func() {
 			b := n.fixture.build(13, old.version.Digest, 13)
 			n.publish(b)
@@ -270,3 +286,23 @@
 		})
 	})
 }
+
+func TestListPublishedAfterTheStart(t *testing.T) {
+	Convey("A node that found no VM list asks again within seconds", t, func() {
+		cfg := testConfig()
+		m := newMachine(t, newFixture(), cfg, fleet(1, 1)[0], 1)
+		now := time.Unix(1000, 0)
+		reads := 0
+		for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(cfg.TickInterval) {
+			for _, a := range m.Step(now, Tick{}) {
+				r, ok := a.(ReadSource)
+				if !ok || r.Key != release.VMListKey {
+					continue
+				}
+				reads++
+				m.Step(now, SourceValue{Call: r.Call, Key: r.Key})
+			}
+		}
+		So(reads, ShouldBeBetweenOrEqual, 3, 20)
+	})
+}
--- a/core/distribution/source.go
+++ b/core/distribution/source.go
@@ -9,17 +9,10 @@
 	"golang.org/x/time/rate"
 
 	"auburnladder.example/core/release"
-	"auburnladder.example/core/vmlist"
 )
 
-const (
-	// readerBurst and peerBurst bound the source calls that a reader and any other node
-	// may make at once.
-	readerBurst = 8
-	peerBurst   = 1
-	// minCheckInterval bounds how often a node that is not a reader checks the source.
-	minCheckInterval = 30 * time.Second
-)
+// minCheckInterval bounds how often a node that is not a reader checks the source.
+const minCheckInterval = 30 * time.Second
 
 // source is the state of the conversation with the platform.
 type source struct {
@@ -95,41 +88,6 @@
 	m.planCheck(now)
 }
 
-// peerRate is the budget in reads per second of one node that is not a reader.
-func (m *Machine) peerRate(vms int) rate.Limit {
-	return rate.Limit(m.cfg.SourceReadsPerSecond * (1 - m.cfg.ReaderShare) / float64(max(1, vms)))
-}
-
-// sourceSpread is the time in which all nodes that are not readers may make one call.
-func (m *Machine) sourceSpread() time.Duration {
-	vms := len(m.view)
-	if m.list == nil {
-		vms = m.cfg.FleetSize
-	}
-	return time.Duration(float64(time.Second) / float64(m.peerRate(vms)))
-}
-
-// assignRole decides whether the node is a reader and sets its share of the budget.
-// Before a VM list is held the view may hold a few seeds only, among which every
-// starting node would take itself for a reader.
-func (m *Machine) assignRole(now time.Time) {
-	m.reader = false
-	if m.list == nil {
-		return
-	}
-	for _, id := range Readers(m.view, m.self.Domain, m.cfg.ReadersPerDomain) {
-		m.reader = m.reader || id == m.self.ID
-	}
-	limit, burst := m.peerRate(len(m.view)), peerBurst
-	if m.reader {
-		readers := countReaders(m.view, m.cfg.ReadersPerDomain)
-		limit = rate.Limit(m.cfg.SourceReadsPerSecond * m.cfg.ReaderShare / float64(readers))
-		burst = readerBurst
-	}
-	m.source.limiter.SetLimitAt(now, limit)
-	m.source.limiter.SetBurstAt(now, burst)
-}
-
 // runSource makes the calls that are due and within the budget.
 func (m *Machine) runSource(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(m.source.calls)) {
@@ -197,27 +155,18 @@
 // provides.
 func (m *Machine) readManifest(now time.Time, c *candidate) {
 	if c.sourceAt.IsZero() {
-		c.sourceAt = m.sourceTurn(now)
+		c.sourceAt = m.sourceTurn(now, 1)
 		if !m.source.pending(release.CurrentKey) {
 			m.source.release.readAt = c.sourceAt
 		}
 	}
 }
 
-// sourceTurn returns when the node may turn to the source: a reader at once, others
-// spread so that a common cause does not make them all call together.
-func (m *Machine) sourceTurn(now time.Time) time.Time {
-	if m.reader {
-		return now
-	}
-	return now.Add(m.upTo(m.sourceSpread()))
-}
-
 // readChunks reads missing chunks at the source. It reports whether any answer is
 // still to come.
 func (m *Machine) readChunks(now time.Time, c *candidate, missing []release.ChunkRef) bool {
 	if c.sourceAt.IsZero() {
-		c.sourceAt = m.sourceTurn(now)
+		c.sourceAt = m.sourceTurn(now, len(missing))
 	}
 	if now.Before(c.sourceAt) {
 		return true
@@ -308,16 +257,32 @@
 	case e.Key == release.CurrentKey || e.Key == release.VMListKey:
 		m.documentRead(now, e, known && call.wait)
 	case strings.HasPrefix(e.Key, release.ChunkKeyPrefix):
-		stored := e.Found && m.storeChunk(e.Value)
-		if known && !stored {
-			m.markUnavailable(call.digest)
+		if !e.Found || !m.storeChunk(e.Value) {
+			m.chunkUnavailable(e.Key)
 		}
 	}
 }
 
+// chunkUnavailable notes that the platform does not hold a chunk. An answer to an
+// earlier call says so as well.
+func (m *Machine) chunkUnavailable(key string) {
+	var d release.Digest
+	if err := d.UnmarshalText([]byte(strings.TrimPrefix(key, release.ChunkKeyPrefix))); err == nil {
+		m.markUnavailable(d)
+	}
+}
+
+// documentRead handles an answer for one of the two documents. A node without a VM
+// list knows no peer and no role, so it asks for the list until there is one.
 func (m *Machine) documentRead(now time.Time, e SourceValue, watch bool) {
 	d := m.source.document(e.Key)
-	d.failures, d.retryAt, d.answered = 0, time.Time{}, true
+	d.retryAt, d.answered = time.Time{}, true
+	if d == &m.source.vmList && !e.Found && m.list == nil {
+		d.failures++
+		d.readAt = now.Add(m.backoff(d.failures, m.cfg.SourceBackoffMin, m.cfg.SourceBackoffMax))
+		return
+	}
+	d.failures = 0
 	if e.Key == release.CurrentKey {
 		m.inquiry.sourceAnswered = true
 		if !watch {
@@ -358,37 +323,13 @@
 		m.refuse(release.Version{}, release.DigestOf(e.Value), "", err)
 		return
 	}
-	if !m.admit(approved, "") {
+	verified := m.admit(approved, "")
+	if verified == nil {
 		return
 	}
-	v := claimedVersion(approved)
+	v := verified.Version
 	if m.held != nil && m.held.Version.Newer(v) && s.behind != v {
 		s.behind = v
 		m.emit(Report{Kind: ReportSourceBehind, Version: v, Other: m.held.Version, Reason: "the platform holds an older release"})
 	}
 }
-
-func (m *Machine) vmListRead(e SourceValue) {
-	if !e.Found {
-		return
-	}
-	m.offerVMList(e.Revision, e.Value, "")
-}
-
-// offerVMList takes a VM list over if it is valid and newer than the held one.
-func (m *Machine) offerVMList(revision uint64, data []byte, from string) {
-	if m.list != nil && revision <= m.list.Revision {
-		return
-	}
-	list, err := vmlist.Parse(data, revision)
-	if err != nil {
-		m.refuse(release.Version{}, release.DigestOf(data), from, err)
-		return
-	}
-	if len(list.VMs) == 0 {
-		return
-	}
-	m.list = list
-	m.listData = data
-	m.emit(ApplyVMList{List: list})
-}
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -51,6 +51,7 @@
 		So(s.Services(), ShouldHaveLength, 2)
 		So(s.MatchRoute("a.example", "GET", "/deep/er/x").Route.Name, ShouldEqual, "deep")
 		So(s.MatchRoute("a.example", "GET", "/deep/error").Route.Name, ShouldEqual, "all")
+		So(s.MatchRoute("A.example:8080", "GET", "/").Route.Name, ShouldEqual, "all")
 		So(s.MatchRoute("a.example", "POST", "/"), ShouldBeNil)
 		So(s.MatchRoute("c.example", "GET", "/"), ShouldBeNil)
 
@@ -89,6 +90,27 @@
 	}
 }
 
+func TestRebuild(t *testing.T) {
+	Convey("Rebuild takes unchanged services over and resolves all references anew", t, func() {
+		v, chunks := pack(testService("a", "b"), testService("b", "b"))
+		first, err := Build(v, source(chunks))
+		So(err, ShouldBeNil)
+		changed := testService("b", "b")
+		changed.Server.Slots = 1
+		v, chunks = pack(testService("a", "b"), changed)
+		second, err := Rebuild(first, v, source(chunks))
+		So(err, ShouldBeNil)
+		So(second.Service("a"), ShouldEqual, first.Service("a"))
+		So(second.Service("b").Server.Slots, ShouldEqual, 1)
+		So(second.MatchRoute("a.example", "GET", "/").Target, ShouldEqual, second.Service("b"))
+		So(first.MatchRoute("a.example", "GET", "/").Target, ShouldEqual, first.Service("b"))
+
+		v, chunks = pack(testService("a", "b"))
+		_, err = Rebuild(second, v, source(chunks))
+		So(err, ShouldNotBeNil)
+	})
+}
+
 func TestRetryOfNonIdempotentRouteIsRefused(t *testing.T) {
 	Convey("A route that is not idempotent allows no retry by status", t, func() {
 		s := testService("a", "a")
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -33,6 +33,7 @@
 // Members probes the VMs of a list.
 type Members interface {
 	ReplaceList(list *vmlist.List)
+	SetLeaving(leaving bool)
 }
 
 // Journal records events for operators.
@@ -105,9 +106,21 @@
 	c.record(statusapi.JournalEntry{Kind: statusapi.JournalPaused, Cause: reason})
 }
 
+// NoteSourceFailed records that the platform stopped answering this node.
+func (c *Commander) NoteSourceFailed(err error) {
+	c.Log.Warn().Str("event", "source-failed").Err(err).Msg("platform does not answer; releases come from peers")
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalSourceFailed, Cause: err.Error()})
+}
+
+// NoteSourceReturned records that the platform answers this node again.
+func (c *Commander) NoteSourceReturned() {
+	c.Log.Info().Str("event", "source-returned").Msg("platform answers again")
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalSourceReturned})
+}
+
 // distributionKinds maps reports of the distribution to kinds of journal entries.
 var distributionKinds = map[distribution.ReportKind]statusapi.JournalKind{
-	distribution.ReportStartedAlone: statusapi.JournalSourceFailed,
+	distribution.ReportStartedAlone: statusapi.JournalStartedAlone,
 	distribution.ReportWithdrawn:    statusapi.JournalSourceBehind,
 	distribution.ReportSourceBehind: statusapi.JournalSourceBehind,
 	distribution.ReportOldBase:      statusapi.JournalReleaseOldBase,
@@ -149,3 +162,16 @@
 func (c *Commander) ApplyView(view *membership.View) {
 	c.State.ReplaceView(view)
 }
+
+// SetLeaving takes the node out of service or back, and tells the other members.
+func (c *Commander) SetLeaving(leaving bool, cause string) {
+	c.State.SetLeaving(leaving)
+	if c.Members != nil {
+		c.Members.SetLeaving(leaving)
+	}
+	step := "takes no new work: "
+	if !leaving {
+		step = "takes new work again: "
+	}
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalDrainStep, Cause: step + cause})
+}
--- a/node/distribution/driver.go
+++ b/node/distribution/driver.go
@@ -45,6 +45,10 @@
 	metrics  *metrics
 	open     atomic.Int64
 	lastStep atomic.Int64
+	outage   outage
+	// nextView is the newest view that was not applied yet; viewChanged tells of it.
+	nextView    atomic.Pointer[[]vmlist.VM]
+	viewChanged chan struct{}
 
 	mu      sync.Mutex
 	machine *distribution.Machine
@@ -64,14 +68,15 @@
 		return nil, err
 	}
 	return &Driver{
-		cfg:      cfg,
-		platform: client,
-		command:  cmd,
-		log:      log,
-		metrics:  newMetrics(),
-		machine:  machine,
-		view:     make(map[string]vmlist.VM),
-		keepers:  make(map[string]context.CancelFunc),
+		cfg:         cfg,
+		platform:    client,
+		command:     cmd,
+		log:         log,
+		metrics:     newMetrics(),
+		machine:     machine,
+		view:        make(map[string]vmlist.VM),
+		viewChanged: make(chan struct{}, 1),
+		keepers:     make(map[string]context.CancelFunc),
 	}, nil
 }
 
@@ -91,6 +96,8 @@
 		select {
 		case <-ctx.Done():
 			running = false
+		case <-d.viewChanged:
+			d.takeView()
 		case <-ticker.C:
 			d.step(distribution.Tick{})
 		}
@@ -102,11 +109,23 @@
 	tasks.Wait()
 }
 
-// SetView replaces the live VMs, as the membership sees them.
+// SetView replaces the live VMs, as the membership sees them. It never blocks: the
+// membership calls it from its own goroutine, on which the driver may be waiting.
 func (d *Driver) SetView(vms []vmlist.VM) {
+	d.nextView.Store(&vms)
+	select {
+	case d.viewChanged <- struct{}{}:
+	default:
+	}
+}
+
+// takeView applies the newest view that SetView left.
+func (d *Driver) takeView() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.setView(vms)
+	if vms := d.nextView.Swap(nil); vms != nil {
+		d.setView(*vms)
+	}
 }
 
 func (d *Driver) setView(vms []vmlist.VM) {
--- /dev/null
+++ b/node/peertls.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"auburnladder.example/node/peers"
+	"auburnladder.example/node/peertls"
+	"auburnladder.example/node/settings"
+	"github.com/rs/zerolog"
+)
+
+func (n *Node) peersConfig() peers.Config {
+	cfg := peers.DefaultConfig()
+	if n.tls != nil {
+		cfg.Transport = n.tls
+	}
+	return cfg
+}
+
+// newPeerTLS returns the transport that the settings ask for, nil for a plain one.
+func newPeerTLS(cfg *settings.Settings, log zerolog.Logger) (*peertls.Transport, error) {
+	if cfg.PeerTLS.Mode != settings.PeerTLSMutual {
+		log.Warn().Str("event", "peers-plain").Msg("connections between nodes are plain, as the settings say")
+		return nil, nil
+	}
+	files := &peertls.Files{Cert: cfg.PeerTLS.Cert, Key: cfg.PeerTLS.Key, CA: cfg.PeerTLS.CA}
+	return peertls.New(cfg.VM.ID, files, log)
+}
--- a/node/proxy/caller_router.go
+++ b/node/proxy/caller_router.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/mesh"
@@ -11,6 +13,7 @@
 	"auburnladder.example/core/routing/p2c"
 	"auburnladder.example/core/routing/random"
 	"auburnladder.example/core/routing/roundrobin"
+	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
 	"github.com/rs/zerolog"
@@ -19,30 +22,48 @@
 // routerInterval is the time between two looks for changed servers and outliers.
 const routerInterval = 100 * time.Millisecond
 
+// percent turns a share into percent.
+const percent = 100
+
 // Router holds what all listeners of a node share to choose servers and to bound
 // retries. Its methods but Run are safe for concurrent use.
 type Router struct {
 	Picker    routing.Picker
 	Retry     retry.Config
+	Journal   Journal
 	state     *state.State
 	directory *routing.Directory
 	log       zerolog.Logger
 	budgets   sync.Map // service name to *retry.Budget
 
+	// applied is what the tables were built from; refresh orders their updates.
+	applied atomic.Pointer[applied]
+	refresh sync.Mutex
+}
+
+// applied is a release and a VM list that the tables reflect.
+type applied struct {
 	snapshot *mesh.Snapshot
 	fleet    *state.Fleet
 }
 
+// Journal records events for operators. Record is called by the goroutine of Refresh.
+type Journal interface {
+	Record(e statusapi.JournalEntry)
+}
+
 // NewRouter returns a router that follows st and chooses servers by policy.
 func NewRouter(st *state.State, policy settings.RoutingPolicy, log zerolog.Logger) *Router {
 	place := routing.Place{Domain: st.Identity.Domain, Region: st.Identity.Region}
-	return &Router{
+	r := &Router{
 		Picker:    picker(policy),
 		Retry:     retry.DefaultConfig(),
 		state:     st,
 		directory: routing.NewDirectory(routing.DefaultConfig(), place),
 		log:       log,
 	}
+	r.applied.Store(&applied{})
+	return r
 }
 
 func picker(policy settings.RoutingPolicy) routing.Picker {
@@ -56,11 +77,33 @@
 	}
 }
 
-// Table returns the servers of a service, or nil if none is known.
+// Table returns the servers of a service, or nil if none is known. The first call
+// after a release or VM list came into force builds the tables anew.
 func (r *Router) Table(service string) *routing.Table {
+	if r.outdated() {
+		r.update(time.Now())
+	}
 	return r.directory.Table(service)
 }
 
+func (r *Router) outdated() bool {
+	a := r.applied.Load()
+	return a.snapshot != r.state.Snapshot() || a.fleet != r.state.Fleet()
+}
+
+// update builds the tables from the release and the VM list in force, unless another
+// goroutine just did.
+func (r *Router) update(now time.Time) {
+	r.refresh.Lock()
+	defer r.refresh.Unlock()
+	next := &applied{snapshot: r.state.Snapshot(), fleet: r.state.Fleet()}
+	if next.snapshot == nil || *next == *r.applied.Load() {
+		return
+	}
+	r.directory.Update(now, next.snapshot, servers(next.fleet))
+	r.applied.Store(next)
+}
+
 // Budget returns the retry budget of a service.
 func (r *Router) Budget(service string) *retry.Budget {
 	if b, ok := r.budgets.Load(service); ok {
@@ -87,11 +130,7 @@
 // Refresh takes over a changed release or VM list and ejects outliers. It is called
 // by one goroutine at a time.
 func (r *Router) Refresh(now time.Time) {
-	snapshot, fleet := r.state.Snapshot(), r.state.Fleet()
-	if snapshot != nil && (snapshot != r.snapshot || fleet != r.fleet) {
-		r.directory.Update(now, snapshot, servers(fleet))
-		r.snapshot, r.fleet = snapshot, fleet
-	}
+	r.update(now)
 	for _, ev := range r.directory.Sweep(now) {
 		r.report(ev)
 	}
@@ -106,12 +145,22 @@
 	r.log.Warn().Str("event", "server-ejected").Str("vm", ev.Endpoint.VM).Str("service", ev.Endpoint.Service).
 		Dur("duration", ev.Duration).Float64("failure_share", ev.FailureShare).
 		Float64("others_share", ev.OthersShare).Msg("server fails more than the others of its service")
+	if r.Journal == nil {
+		return
+	}
+	r.Journal.Record(statusapi.JournalEntry{
+		Kind: statusapi.JournalServerEjected,
+		Cause: fmt.Sprintf("failed in %.0f%% of attempts, the others in %.0f%%; no work for %s",
+			percent*ev.FailureShare, percent*ev.OthersShare, ev.Duration),
+		VM:      ev.Endpoint.VM,
+		Service: ev.Endpoint.Service,
+	})
 }
 
 func servers(f *state.Fleet) []routing.Server {
-	list := make([]routing.Server, len(f.VMs))
-	for i := range f.VMs {
-		vm := &f.VMs[i]
+	usable := f.Usable()
+	list := make([]routing.Server, len(usable))
+	for i, vm := range usable {
 		list[i] = routing.Server{
 			VM:      vm.ID,
 			Service: vm.Service,
--- a/node/state/fleet.go
+++ b/node/state/fleet.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"auburnladder.example/core/membership"
 	"auburnladder.example/core/vmlist"
 )
@@ -70,6 +72,16 @@
 	return f.byID[id]
 }
 
+// Published returns the VM with the given id as the platform lists it, uncorrected.
+func (f *Fleet) Published(id string) (vmlist.VM, bool) {
+	for _, vm := range f.list.VMs {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return vmlist.VM{}, false
+}
+
 // Servers returns the VMs of a service that may be alive, leaving ones included. If
 // most of a service look dead, it returns all of them.
 func (f *Fleet) Servers(service string) []*vmlist.VM {
@@ -79,6 +91,18 @@
 	return nil
 }
 
+// Usable returns the VMs of all services as Servers does, in the order of the list.
+func (f *Fleet) Usable() []*vmlist.VM {
+	usable := make([]*vmlist.VM, 0, len(f.VMs))
+	for i := range f.VMs {
+		vm := &f.VMs[i]
+		if slices.Contains(f.Servers(vm.Service), vm) {
+			usable = append(usable, vm)
+		}
+	}
+	return usable
+}
+
 // Health returns what probing found about a VM. A VM that was not probed yet counts
 // as alive.
 func (f *Fleet) Health(id string) membership.State {
