--- a/core/routing/p2c/p2c.go
+++ b/core/routing/p2c/p2c.go
@@ -1,8 +1,8 @@
 // Package p2c chooses the better of two servers drawn at random.
 //
 // Drawing two avoids that all nodes send to the one server that looked best a
-// moment ago. The better one has the lower score: its estimated load, divided by
-// its weight while it is cold, plus the cost of the way to it.
+// moment ago. The better one has the lower score: its estimated load plus the cost of
+// the way to it. A cold server competes only now and then, as its weight says.
 package p2c
 
 import (
@@ -12,6 +12,10 @@
 	"auburnladder.example/core/routing"
 )
 
+// coldCost is added to the score of a cold server that isn't to compete, as a share of
+// a server's limit. Two cold servers still compare by load.
+const coldCost = 2
+
 // Picker implements routing.Picker. It has no state.
 type Picker struct{}
 
@@ -70,8 +74,19 @@
 	if e == nil {
 		return candidate{}
 	}
-	load := e.Load(c.now) / e.Weight(c.now, c.table.SlowStart)
-	return candidate{endpoint: e, load: load, score: load + c.table.Cost(e)}
+	load := e.Load(c.now)
+	score := load + c.table.Cost(e)
+	if !c.admits(e) {
+		score += coldCost
+	}
+	return candidate{endpoint: e, load: load, score: score}
+}
+
+// admits reports whether e competes at its plain score. A cold server does so with
+// its weight as the chance, so it gets that share of the requests of a warm one.
+func (c *choice) admits(e *routing.Endpoint) bool {
+	weight := e.Weight(c.now, c.table.SlowStart)
+	return weight >= 1 || float64(c.rnd.Uint64()>>11)/(1<<53) < weight
 }
 
 func better(a, b candidate) candidate {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -196,6 +196,33 @@
 	})
 }
 
+func TestColdServerGetsItsWeight(t *testing.T) {
+	Convey("A cold server gets some requests, and more as it warms up", t, func() {
+		list := servers(4)
+		for i := range list {
+			list[i].Domain = home.Domain
+		}
+		d, _ := newDirectory(t, list[:3])
+		now := start.Add(time.Hour)
+		d.Update(now, testSnapshot(t), list)
+		table := d.Table("programma")
+		share := func(age time.Duration) float64 {
+			const picks = 20000
+			rnd := rand.NewPCG(3, 4)
+			cold := 0
+			for range picks {
+				if (p2c.Picker{}).Pick(now.Add(age), rnd, table, nil).Endpoint.VM == list[3].VM {
+					cold++
+				}
+			}
+			return float64(cold) / picks
+		}
+		So(share(0), ShouldAlmostEqual, 0.1/4, 0.02)
+		So(share(slowStart/2), ShouldAlmostEqual, 0.55/4, 0.04)
+		So(share(slowStart), ShouldAlmostEqual, 0.25, 0.03)
+	})
+}
+
 // serverSim serves requests of one backend server in virtual time.
 type serverSim struct {
 	service time.Duration
