Refuse an answer above the resource's limit in one piece; test slow senders

Cause: the limit was checked for streamed answers only. Failing first: TestVerdictsAndRetries gives 200 for an inline answer above the limit. After: 502 with verdict ran. The streamed case named "above the limit" was below the 4 MiB of the test's resource and asserted a whole answer; the resource now allows 1 MiB and the case asserts a broken one, as its name says. Slow senders get a 4xx or a closed connection (TestSlowSenderIsCutOff).

--- a/node/proxy/caller_attempt.go
+++ b/node/proxy/caller_attempt.go
@@ -142,6 +142,11 @@
 	a.outcome.Load = routingLoad(a.reply.GetLoad())
 	switch v := fromWire(a.reply.GetVerdict()); v {
 	case verdict.Ran:
+		if int64(len(a.reply.GetBody())) > a.call.match.Resource.MaxResponseBytes {
+			a.err = verdict.Wrap(v, errTooLarge)
+			a.outcome.Kind = routing.Failure
+			return
+		}
 		a.outcome.Kind = statusKind(int(a.reply.GetStatus()))
 	case verdict.NotRun:
 		a.judgeRefusal()
--- a/node/proxy/ingress_fake_test.go
+++ b/node/proxy/ingress_fake_test.go
@@ -261,7 +261,7 @@
 		Callers:   []string{mesh.PublicCaller},
 		Server:    mesh.Server{Slots: 10, Connections: 110},
 		Stop:      mesh.Stop{Method: mesh.StopNone, Grace: 1000},
-		Resources: []mesh.Resource{{Name: "sessions", MaxRequestBytes: 1000, MaxResponseBytes: 4 << 20}},
+		Resources: []mesh.Resource{{Name: "sessions", MaxRequestBytes: 1000, MaxResponseBytes: 1 << 20}},
 		Routes: []mesh.Route{
 			{
 				Name: "read", Methods: []string{"GET"}, Prefix: "/", Service: "programma", Resource: "sessions",
@@ -313,6 +313,10 @@
 	_ = st.Send(&peerpb.Reply{Id: call.GetId() + 1, Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Body: []byte("other")})
 }
 
+func answerTooLarge(_ *link, call *peerpb.Call, st *session.Stream) {
+	_ = st.Send(&peerpb.Reply{Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Body: make([]byte, 1500<<10)})
+}
+
 func dropSession(l *link, _ *peerpb.Call, _ *session.Stream) {
 	l.server.Close()
 }
--- a/node/proxy/ingress_test.go
+++ b/node/proxy/ingress_test.go
@@ -44,6 +44,7 @@
 		{"lost lookup is sent again", "GET", "/", []handler{dropSession, dropSession}, 502, "may-have-run", 2},
 		{"crossed booking", "POST", "/", []handler{answerCrossed, answerCrossed}, 502, "may-have-run", 1},
 		{"duplicate may have run", "POST", "/", []handler{refuseDuplicate, refuseDuplicate}, 502, "may-have-run", 1},
+		{"answer above the limit", "POST", "/", []handler{answerTooLarge}, 502, "ran", 1},
 		{"booking past its deadline", "POST", "/hasty", []handler{hang}, 504, "may-have-run", 1},
 		{"silent booking", "POST", "/hasty", []handler{goSilent}, 504, "may-have-run", 1},
 	}
@@ -122,7 +123,7 @@
 		{"no last part", nil, nil, 0},
 		{"aborted", &peerpb.Body{Aborted: true}, nil, 0},
 		{"node killed", nil, func(l *link) { l.server.Close() }, 0},
-		{"above the limit", &peerpb.Body{Data: make([]byte, 1<<20), Last: true, Total: total + 1<<20}, nil, int(total) + 1<<20},
+		{"above the limit", &peerpb.Body{Data: make([]byte, 1<<20), Last: true, Total: total + 1<<20}, nil, 0},
 	}
 	Convey("A streamed answer is whole or visibly broken", t, func() {
 		for _, c := range cases {
@@ -239,6 +240,33 @@
 	})
 }
 
+func TestSlowSenderIsCutOff(t *testing.T) {
+	Convey("A caller that never ends its request gets a 4xx or a closed connection", t, func() {
+		f := newFleet(t, answerOK)
+		defer f.close()
+		server := f.ingress.NewServer()
+		server.ReadTimeout = 100 * time.Millisecond
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		f.tasks.Go(func() { _ = server.Serve(l) })
+		defer func() { _ = server.Shutdown() }()
+		for _, text := range []string{"GET / HTTP/1.1\r\nHost: progr", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 9\r\n\r\nhalf"} {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			So(err, ShouldBeNil)
+			_ = conn.SetDeadline(time.Now().Add(eventually))
+			_, err = conn.Write([]byte(text))
+			So(err, ShouldBeNil)
+			answer, err := io.ReadAll(conn)
+			So(err, ShouldBeNil)
+			if len(answer) > 0 {
+				So(string(answer), ShouldStartWith, "HTTP/1.1 4")
+			}
+			_ = conn.Close()
+		}
+		So(f.total(), ShouldEqual, 0)
+	})
+}
+
 func TestMalformedRequests(t *testing.T) {
 	cases := []struct {
 		name, text string
