--- a/node/proxy/caller_router.go
+++ b/node/proxy/caller_router.go
@@ -36,7 +36,7 @@
 	log       zerolog.Logger
 	budgets   sync.Map // service name to *retry.Budget
 
-	// applied is what the tables were built from; refresh orders their updates.
+	// applied is what the tables were built from; refresh orders updates and sweeps.
 	applied atomic.Pointer[applied]
 	refresh sync.Mutex
 }
@@ -131,11 +131,18 @@
 // by one goroutine at a time.
 func (r *Router) Refresh(now time.Time) {
 	r.update(now)
-	for _, ev := range r.directory.Sweep(now) {
+	for _, ev := range r.sweep(now) {
 		r.report(ev)
 	}
 }
 
+// sweep ejects outliers. The directory allows no update meanwhile.
+func (r *Router) sweep(now time.Time) []routing.Event {
+	r.refresh.Lock()
+	defer r.refresh.Unlock()
+	return r.directory.Sweep(now)
+}
+
 func (r *Router) report(ev routing.Event) {
 	if ev.Kind == routing.Spared {
 		metrics.spared.Add(1)
--- a/node/proxy/caller_router_test.go
+++ b/node/proxy/caller_router_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -26,3 +29,26 @@
 		So(r.Table("shop"), ShouldBeNil)
 	})
 }
+
+func TestTablesChangeDuringASweep(t *testing.T) {
+	Convey("A call may update the tables while outliers are looked for", t, func() {
+		st := state.New(state.Identity{VM: "a"})
+		st.Install(egressSnapshot(), time.Unix(1, 0))
+		r := NewRouter(st, settings.PolicyP2C, zerolog.Nop())
+		var done atomic.Bool
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			defer done.Store(true)
+			for i := range 2000 {
+				vm := vmlist.VM{ID: fmt.Sprint("shop-", i), Service: "shop", Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+				st.ReplaceVMs(&vmlist.List{Revision: uint64(i + 1), VMs: []vmlist.VM{vm}})
+				r.Table("shop")
+			}
+		})
+		for i := int64(0); !done.Load(); i++ {
+			r.Refresh(time.Unix(i, 0))
+		}
+		wg.Wait()
+		So(r.Table("shop").Endpoints[0].VM, ShouldEqual, "shop-1999")
+	})
+}
