--- a/core/distribution/status.go
+++ b/core/distribution/status.go
@@ -138,3 +138,8 @@
 func (m *Machine) Versions() Versions {
 	return m.versions()
 }
+
+// Reader reports whether the node holds a watch on the platform's service.
+func (m *Machine) Reader() bool {
+	return m.reader
+}
--- a/core/statusapi/journal.go
+++ b/core/statusapi/journal.go
@@ -51,7 +51,6 @@
 	JournalReleaseOldBase JournalKind = "release-old-base"
 	JournalVMListApplied  JournalKind = "vm-list-applied"
 	JournalServerEjected  JournalKind = "server-ejected"
-	JournalServerReturned JournalKind = "server-returned"
 	JournalDrainStep      JournalKind = "drain-step"
 	// JournalPaused is a process that did not run for a while.
 	JournalPaused        JournalKind = "paused"
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -120,6 +120,19 @@
 	})
 }
 
+func TestJournalTellsReaderChanges(t *testing.T) {
+	Convey("Given a node that becomes a reader and ceases to be one", t, func() {
+		f := newFixture()
+		f.command.NoteReader(true)
+		f.command.NoteReader(false)
+		var j statusapi.Journal
+		So(f.get(statusapi.JournalPath, &j), ShouldEqual, fiber.StatusOK)
+		So(j.Entries, ShouldHaveLength, 2)
+		So(j.Entries[0].Kind, ShouldEqual, statusapi.JournalReaderStarted)
+		So(j.Entries[1].Kind, ShouldEqual, statusapi.JournalReaderStopped)
+	})
+}
+
 func TestJournalIsBounded(t *testing.T) {
 	Convey("Given more entries than the journal holds", t, func() {
 		j := query.NewJournal(time.Now)
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -106,6 +106,16 @@
 	c.record(statusapi.JournalEntry{Kind: statusapi.JournalPaused, Cause: reason})
 }
 
+// NoteReader records that this node began or ceased to watch the platform's service.
+func (c *Commander) NoteReader(reader bool) {
+	c.Log.Info().Str("event", "reader-changed").Bool("reader", reader).Msg("the live VMs of the domain changed")
+	kind := statusapi.JournalReaderStopped
+	if reader {
+		kind = statusapi.JournalReaderStarted
+	}
+	c.record(statusapi.JournalEntry{Kind: kind, Cause: "the live VMs of the domain changed"})
+}
+
 // NoteSourceFailed records that the platform stopped answering this node.
 func (c *Commander) NoteSourceFailed(err error) {
 	c.Log.Warn().Str("event", "source-failed").Err(err).Msg("platform does not answer; releases come from peers")
--- a/node/distribution/driver.go
+++ b/node/distribution/driver.go
@@ -175,7 +175,11 @@
 	}
 	now := time.Now()
 	d.lastStep.Store(now.UnixNano())
+	before := d.machine.Reader()
 	actions := d.machine.Step(now, ev)
+	if after := d.machine.Reader(); after != before {
+		d.command.NoteReader(after)
+	}
 	for _, a := range actions {
 		d.act(now, a)
 	}
