Spread news about members more often

In a trial on the virtual network a third of 300 nodes was lost at once: after 60 s 0.1% of the pairs of observer and lost VM, at worst 3% at one node, still showed the VM alive. Each update was sent at most 9 times per node, a third of that to lost VMs. Such a node finds the loss only by its own probes, one member per interval. Ruled out: lost suspicions (every record that lagged was still alive, not suspect).

The retransmit multiplier is now 6. The doc's upper bound left the extra datagrams of failed probes out; it is corrected.

TestLostDomain fails with the multiplier 3 and passes with 6. Runs: go test -race ./core/membership ./node/probe passes; rapid with 5000 checks passes.

--- a/core/membership/config.go
+++ b/core/membership/config.go
@@ -58,7 +58,7 @@
 		ProbeTimeout:         300 * time.Millisecond,
 		IndirectProbes:       3,
 		SuspicionMultiplier:  3,
-		RetransmitMultiplier: 3,
+		RetransmitMultiplier: 6,
 		MaxUpdateBytes:       1000,
 		MaxAwareness:         4,
 		DeadProbeInterval:    5 * time.Second,
@@ -74,6 +74,7 @@
 	c := DefaultConfig()
 	c.ProbeInterval = 500 * time.Millisecond
 	c.ProbeTimeout = 150 * time.Millisecond
+	c.MaxUpdateBytes = 512
 	c.DeadProbeInterval = 2 * time.Second
 	return c
 }
--- a/core/membership/doc.go
+++ b/core/membership/doc.go
@@ -19,10 +19,13 @@
 // headers of IP and UDP (28 bytes), the addressing fields (about 50), the sender's held
 // release and list revision (about 45) and its own record (about 30) a datagram
 // without news has about 155 bytes: 4 x 155 = 620 bytes per interval, whatever the
-// number of nodes. News add at most Config.MaxUpdateBytes to each datagram, so the
-// upper bound at the default of 1 s and 1000 bytes is 4 x 1155 = 4620 bytes a second,
-// reached only while many members change at once, e.g. when a failure domain is lost.
-// A failed probe adds 4 datagrams for each indirect probe.
+// number of nodes.
+//
+// News add at most Config.MaxUpdateBytes to each datagram. While many members change
+// at once, as when a failure domain is lost, failed probes add datagrams too: up to
+// Config.IndirectProbes + 1 for each probe, the answers to those of others, and at most
+// four pings to suspects per interval. That bounds the bytes by the probe interval and
+// not by the number of changes; the more there are, the longer they take to spread.
 //
 // The package is pure: time, randomness and messages come in through Step and
 // actions go out. A Machine is used from one goroutine; a View is immutable and may be
--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -293,6 +293,27 @@
 	return out
 }
 
+func TestLostDomain(t *testing.T) {
+	Convey("The loss of a third of the fleet is known everywhere before each node could probe it", t, func() {
+		const size = 60
+		for seed := range uint64(5) {
+			net := newNetwork(DefaultConfig(), seed, size)
+			net.run(10 * time.Second)
+			lost := func(n *testNode) bool { return !n.running }
+			for i := range net.nodes {
+				net.nodes[i].running = i%3 != 0
+			}
+			complete := func(n *testNode) bool { return lost(n) || n.view.Count(Dead) == size/3 }
+			// A node alone needs one probe interval for each member.
+			So(net.until(size*net.cfg.ProbeInterval, func() bool {
+				return !slices.ContainsFunc(net.nodes, func(n *testNode) bool { return !complete(n) })
+			}), ShouldBeTrue)
+			So(net.everSeen(Dead), ShouldHaveLength, size/3)
+			So(net.fault, ShouldBeNil)
+		}
+	})
+}
+
 func TestIdleTraffic(t *testing.T) {
 	Convey("A quiet node sends two datagrams per probe interval at any fleet size", t, func() {
 		for _, size := range []int{10, 300} {
