--- a/bench/distribution/measure.go
+++ b/bench/distribution/measure.go
@@ -75,6 +75,7 @@
 	if err := f.ready(); err != nil {
 		return nil, err
 	}
+	f.net.setLoss(s.Loss)
 	var rows []*row
 	steps := []func() (*row, error){f.measureWhole, f.measureChanges}
 	if s.Cut {
@@ -104,7 +105,6 @@
 // measureChanges publishes releases with one changed chunk and measures the idle fleet.
 func (f *fleet) measureChanges() (*row, error) {
 	r := newRow("one chunk changed")
-	f.net.setLoss(f.spec.Loss)
 	f.measureIdle(r)
 	var total, calls float64
 	for range f.spec.Releases {
