--- /dev/null
+++ b/node/proxy/egress_bench_test.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"testing"
+
+	"auburnladder.example/wire/peerpb"
+	"github.com/valyala/fasthttp"
+)
+
+// BenchmarkServer measures one call after another at a server on loopback: straight,
+// and over a session and the egress.
+func BenchmarkServer(b *testing.B) {
+	b.Run("direct", func(b *testing.B) {
+		s := newRawServer(serveOK)
+		defer s.close()
+		client := &fasthttp.HostClient{Addr: s.addr().String()}
+		b.ReportAllocs()
+		for b.Loop() {
+			var req fasthttp.Request
+			var resp fasthttp.Response
+			req.SetRequestURI("http://tickets.test/seats/1")
+			req.Header.SetMethod("POST")
+			req.SetBodyString("four")
+			if err := client.Do(&req, &resp); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("egress", func(b *testing.B) {
+		r := newEgressRig(newRawServer(serveOK))
+		b.ReportAllocs()
+		for b.Loop() {
+			st, err := r.peer.Open(&peerpb.Request{Kind: &peerpb.Request_Call{Call: r.call()}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			var reply peerpb.Reply
+			if err := st.Recv(&reply); err != nil || reply.GetStatus() != fasthttp.StatusOK {
+				b.Fatal(err, reply.GetDetail())
+			}
+			st.Close()
+		}
+		r.cancel()
+		r.peer.Close()
+		r.local.Close()
+		r.tasks.Wait()
+		r.egress.pool.close()
+		r.server.close()
+	})
+}
--- /dev/null
+++ b/node/proxy/egress_rig_test.go
@@ -0,0 +1,297 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/release"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/peers"
+	"auburnladder.example/node/state"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+)
+
+// testWait bounds waiting for something that must happen; it asserts no speed.
+const testWait = 20 * time.Second
+
+// rawServer is a backend server whose every byte a test controls.
+type rawServer struct {
+	listener net.Listener
+	handle   func(conn net.Conn, r *bufio.Reader, req *http.Request) (more bool)
+	requests atomic.Int64
+	conns    atomic.Int64
+	tasks    conc.WaitGroup
+
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+func newRawServer(handle func(net.Conn, *bufio.Reader, *http.Request) bool) *rawServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	s := &rawServer{listener: l, handle: handle}
+	s.tasks.Go(s.accept)
+	return s
+}
+
+func (s *rawServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.conns.Add(1)
+		s.mu.Lock()
+		s.open = append(s.open, conn)
+		s.mu.Unlock()
+		s.tasks.Go(func() { s.serve(conn) })
+	}
+}
+
+func (s *rawServer) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !s.handle(conn, r, req) {
+			return
+		}
+		// The rest of a body must not be read as the next request.
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
+}
+
+func (s *rawServer) addr() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+func (s *rawServer) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		c.Close()
+	}
+}
+
+func (s *rawServer) close() {
+	s.listener.Close()
+	s.closeConns()
+	s.tasks.Wait()
+}
+
+// serveOK reads the body and answers with its size.
+func serveOK(conn net.Conn, _ *bufio.Reader, req *http.Request) bool {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return false
+	}
+	text := fmt.Sprintf("%s %d", req.URL.Path, len(body))
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Kind: test\r\n\r\n%s", len(text), text)
+	return true
+}
+
+// answerRaw sends the text and closes the connection.
+func answerRaw(text string) func(net.Conn, *bufio.Reader, *http.Request) bool {
+	return func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, text)
+		return false
+	}
+}
+
+// egressRig is an egress with one peer session and one server.
+type egressRig struct {
+	egress *Egress
+	server *rawServer
+	peer   *session.Session
+	local  *session.Session
+	from   peers.Peer
+	nextID uint64
+	offset atomic.Int64
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+}
+
+func (r *egressRig) now() time.Time { return time.Now().Add(time.Duration(r.offset.Load())) }
+
+func newEgressRig(server *rawServer, change ...func(*EgressConfig)) *egressRig {
+	st := state.New(state.Identity{VM: "tickets-1", Service: "tickets", Domain: "a", Region: "r"})
+	st.Install(egressSnapshot(), time.Now())
+	st.ReplaceVMs(&vmlist.List{Revision: 1, VMs: []vmlist.VM{
+		{ID: "shop-1", Service: "shop"},
+		{ID: "bank-1", Service: "bank"},
+	}})
+	cfg := DefaultEgressConfig()
+	cfg.SeenCalls = 16
+	for _, f := range change {
+		f(&cfg)
+	}
+	r := &egressRig{server: server, from: peers.Peer{VM: "shop-1", Service: "shop"}}
+	r.egress = newEgress(st, server.addr(), zerolog.Nop(), cfg, r.now)
+	a, b := loopback()
+	r.peer, _ = session.Client(a, session.DefaultConfig())
+	r.local, _ = session.Server(b, session.DefaultConfig())
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.tasks.Go(func() { r.accept(ctx) })
+	return r
+}
+
+func (r *egressRig) accept(ctx context.Context) {
+	for {
+		st, err := r.local.Accept()
+		if err != nil {
+			return
+		}
+		r.tasks.Go(func() {
+			defer st.Close()
+			var req peerpb.Request
+			if st.Recv(&req) == nil {
+				r.egress.ServeCall(ctx, r.from, req.GetCall(), st)
+			}
+		})
+	}
+}
+
+// close ends everything and checks that no slot is held.
+func (r *egressRig) close() {
+	r.cancel()
+	r.peer.Close()
+	r.local.Close()
+	r.tasks.Wait()
+	So(r.egress.limiter.Load().InFlight, ShouldEqual, 0)
+	r.egress.pool.close()
+	r.server.close()
+	So(r.egress.pool.open, ShouldEqual, 0)
+}
+
+func loopback() (net.Conn, net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	a, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	b, err := l.Accept()
+	if err != nil {
+		panic(err)
+	}
+	return a, b
+}
+
+func egressSnapshot() *mesh.Snapshot {
+	resource := mesh.Resource{Name: "seats", MaxRequestBytes: 1 << 20, MaxResponseBytes: 1 << 20}
+	tickets := &mesh.Service{
+		Name: "tickets", Hosts: []string{"tickets.test"}, Callers: []string{mesh.PublicCaller, "shop"},
+		Priority: mesh.PriorityNormal,
+		Server:   mesh.Server{Slots: 2, Connections: 8, DrainPath: "/_drain"},
+		Stop:     mesh.Stop{Method: mesh.StopHTTP, Path: "/_stop", Grace: 60000}, Resources: []mesh.Resource{resource},
+		Routes: []mesh.Route{{
+			Name: "book", Methods: []string{"GET", "POST", "HEAD"}, Prefix: "/seats", Service: "tickets", Resource: "seats",
+			Retry: mesh.Retry{Attempts: 1}, Deadline: 5000,
+		}},
+	}
+	shop := &mesh.Service{
+		Name: "shop", Hosts: []string{"shop.test"}, Callers: []string{"tickets"}, Server: mesh.Server{Slots: 1, Connections: 1},
+		Stop: mesh.Stop{Method: mesh.StopNone, Grace: 1000}, Resources: []mesh.Resource{resource},
+		Routes: []mesh.Route{{
+			Name: "internal", Methods: []string{"GET"}, Prefix: "/", Service: "tickets", Resource: "seats",
+			Retry: mesh.Retry{Attempts: 1}, Deadline: 5000,
+		}},
+	}
+	chunks := make(map[release.Digest][]byte)
+	m := &release.Manifest{Sequence: 7}
+	for _, svc := range []*mesh.Service{shop, tickets} {
+		data, err := svc.Encode()
+		if err != nil {
+			panic(err)
+		}
+		digest := release.DigestOf(data)
+		chunks[digest] = data
+		m.Chunks = append(m.Chunks, release.ChunkRef{Name: svc.Name, Digest: digest, Size: len(data)})
+	}
+	snap, err := mesh.Build(&release.Verified{Version: release.Version{Sequence: 7}, Manifest: m}, func(d release.Digest) ([]byte, bool) {
+		data, found := chunks[d]
+		return data, found
+	})
+	if err != nil {
+		panic(err)
+	}
+	return snap
+}
+
+// call returns a valid call of its own id.
+func (r *egressRig) call() *peerpb.Call {
+	r.nextID++
+	return &peerpb.Call{
+		Id: r.nextID, Service: "tickets", Route: "book", Method: "POST", Uri: "/seats/1", Host: "tickets.test",
+		Body: []byte("four"), RemainingUs: uint64(testWait.Microseconds()), Caller: mesh.PublicCaller, Attempt: 1,
+		Release: &peerpb.Version{Sequence: 7}, MaxResponseBytes: 1 << 20,
+	}
+}
+
+// egressAnswer is everything that the caller's node gets back.
+type egressAnswer struct {
+	*peerpb.Reply
+	body    []byte
+	aborted bool
+}
+
+func (r *egressRig) open(call *peerpb.Call) *session.Stream {
+	st, err := r.peer.Open(&peerpb.Request{Kind: &peerpb.Request_Call{Call: call}})
+	So(err, ShouldBeNil)
+	st.SetDeadline(time.Now().Add(testWait))
+	return st
+}
+
+func (r *egressRig) do(call *peerpb.Call) egressAnswer {
+	st := r.open(call)
+	defer st.Close()
+	return readAnswer(st, call)
+}
+
+func readAnswer(st *session.Stream, call *peerpb.Call) egressAnswer {
+	a := egressAnswer{Reply: &peerpb.Reply{}}
+	So(st.Recv(a.Reply), ShouldBeNil)
+	So(a.GetId(), ShouldEqual, call.GetId())
+	a.body = a.GetBody()
+	for more := a.GetMore(); more; {
+		var part peerpb.Body
+		So(st.Recv(&part), ShouldBeNil)
+		a.body = append(a.body, part.GetData()...)
+		a.aborted = part.GetAborted()
+		more = !part.GetLast()
+		if !more && !a.aborted {
+			So(part.GetTotal(), ShouldEqual, len(a.body))
+		}
+	}
+	return a
+}
+
+func waitUntil(what func() bool) {
+	for end := time.Now().Add(testWait); !what() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	So(what(), ShouldBeTrue)
+}
