Keep half of the slots when answers are slow but not shed

Cause: slow answers alone took the limit down to 1. On a machine short of processor time every answer is slow whatever the concurrency, and the limit would cost most of the throughput. Sheds still take it to 1.

Run: go test -race -count=2 ./core/admission passes. Not measured: the effect under load with real servers.

--- a/core/admission/adapt.go
+++ b/core/admission/adapt.go
@@ -72,11 +72,11 @@
 func (a *adapter) observe(now time.Time, s state, res Result, slow bool) {
 	switch {
 	case res.Shed:
-		a.decrease(now, s)
+		a.decrease(now, s, 1)
 	case slow:
 		if a.slowScore.Add(1) >= int64(a.cfg.SlowScore*s.limit()) {
 			a.slowScore.Store(0)
-			a.decrease(now, s)
+			a.decrease(now, s, a.cfg.SlowFloor*float64(a.slots.Load()))
 		}
 	default:
 		a.slowScore.Store(max(a.slowScore.Load()-1, 0))
@@ -84,13 +84,15 @@
 	}
 }
 
-// decrease starts from the limit in use, which may be below a.limit on a cold server.
-func (a *adapter) decrease(now time.Time, s state) {
+// decrease starts from the limit in use, which may be below a.limit on a cold server. It
+// doesn't go below the floor.
+func (a *adapter) decrease(now time.Time, s state, floor float64) {
 	if !a.lastDecrease.IsZero() && now.Sub(a.lastDecrease) < a.cfg.DecreaseInterval {
 		return
 	}
 	a.lastDecrease, a.lastIncrease = now, now
-	a.limit = max(min(a.limit, float64(s.limit()))*a.cfg.DecreaseFactor, 1)
+	inUse := min(a.limit, float64(s.limit()))
+	a.limit = max(inUse*a.cfg.DecreaseFactor, min(floor, inUse), 1)
 }
 
 // increase adds one request, but only while half of the limit is used: an idle server
--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -43,6 +43,10 @@
 	// SlowScore is the surplus of slow over normal samples that decreases the limit,
 	// as a multiple of the limit. A small score reacts sooner and to less evidence.
 	SlowScore int
+	// SlowFloor is the share of the slots below which slow answers alone don't take the
+	// limit; sheds do. Slowness may have other causes than the server's concurrency, and
+	// then a lower limit only costs throughput. Unit: 0 to 1.
+	SlowFloor float64
 	// ProbeInterval is how often a request is let through although its remaining time
 	// is below the measured service time, so that a wrong estimate corrects itself. A
 	// long interval keeps refusing after the server has recovered.
@@ -65,6 +69,7 @@
 		IncreaseInterval: 200 * time.Millisecond,
 		SlowRatio:        3,
 		SlowScore:        4,
+		SlowFloor:        0.5,
 		ProbeInterval:    time.Second,
 		MinRetryAfter:    5 * time.Millisecond,
 		MaxRetryAfter:    2 * time.Second,
