Pass on a server's answer when no other server is left to ask

Cause: a lookup answered with a listed status was dropped before the next pick; if no other server was usable, the caller got the node's 502 in place of the answer. Failing first: TestVerdictsAndRetries, "shed lookup, no other server", gives 502. After: 503 with verdict ran and the server's body; go test -race ./node/proxy passes.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -61,11 +61,13 @@
 	NoTime
 	// NoBudget means that the service's retry budget is spent.
 	NoBudget
+	// NoServer means that no other server may be asked.
+	NoServer
 )
 
 // String returns the name used in logs, metrics and spans.
 func (r Reason) String() string {
-	names := [...]string{"allowed", "final", "not-idempotent", "no-attempts", "no-time", "no-budget"}
+	names := [...]string{"allowed", "final", "not-idempotent", "no-attempts", "no-time", "no-budget", "no-server"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/node/proxy/caller.go
+++ b/node/proxy/caller.go
@@ -69,28 +69,36 @@
 	if table == nil {
 		return nil, verdict.Wrap(verdict.NotRun, errNoServer)
 	}
-	var last error
+	var last *attempt
 	for {
 		picked := c.ingress.Router.Picker.Pick(time.Now(), randomSource{}, table, c.tried)
 		if picked.Endpoint == nil {
 			c.wait = picked.Wait
-			return nil, verdict.Wrap(c.retry.Verdict(), errors.Join(errNoServer, last))
+			return c.conclude(last, retry.Decision{Reason: retry.NoServer})
 		}
-		a := c.try(picked.Endpoint)
-		decision := c.retry.Next(time.Now(), a.retryOutcome(), randomSource{})
+		if last != nil {
+			last.finish()
+			metrics.retries.Add(1)
+		}
+		last = c.try(picked.Endpoint)
+		decision := c.retry.Next(time.Now(), last.retryOutcome(), randomSource{})
 		if !decision.Retry() {
-			return c.conclude(a, decision)
+			return c.conclude(last, decision)
+		}
+		if last.err != nil {
+			last.finish()
 		}
-		metrics.retries.Add(1)
-		last = a.err
-		a.finish()
 		c.tried = append(c.tried, picked.Endpoint)
 		time.Sleep(decision.Wait)
 	}
 }
 
-// conclude returns the last attempt's answer or its error.
+// conclude returns the last attempt's answer or its error. a is nil if no attempt was
+// made.
 func (c *call) conclude(a *attempt, d retry.Decision) (*attempt, error) {
+	if a == nil {
+		return nil, verdict.Wrap(verdict.NotRun, errNoServer)
+	}
 	if a.err == nil {
 		return a, nil
 	}
--- a/node/proxy/ingress_fake_test.go
+++ b/node/proxy/ingress_fake_test.go
@@ -313,6 +313,10 @@
 	_ = st.Send(&peerpb.Reply{Id: call.GetId() + 1, Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Body: []byte("other")})
 }
 
+func answerShed(_ *link, call *peerpb.Call, st *session.Stream) {
+	_ = st.Send(&peerpb.Reply{Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_RAN, Status: 503, Body: []byte("shed")})
+}
+
 func answerTooLarge(_ *link, call *peerpb.Call, st *session.Stream) {
 	_ = st.Send(&peerpb.Reply{Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Body: make([]byte, 1500<<10)})
 }
--- a/node/proxy/ingress_test.go
+++ b/node/proxy/ingress_test.go
@@ -44,6 +44,8 @@
 		{"lost lookup is sent again", "GET", "/", []handler{dropSession, dropSession}, 502, "may-have-run", 2},
 		{"crossed booking", "POST", "/", []handler{answerCrossed, answerCrossed}, 502, "may-have-run", 1},
 		{"duplicate may have run", "POST", "/", []handler{refuseDuplicate, refuseDuplicate}, 502, "may-have-run", 1},
+		{"shed lookup, no other server", "GET", "/", []handler{answerShed}, 503, "ran", 1},
+		{"shed booking", "POST", "/", []handler{answerShed, answerShed}, 503, "ran", 1},
 		{"answer above the limit", "POST", "/", []handler{answerTooLarge}, 502, "ran", 1},
 		{"booking past its deadline", "POST", "/hasty", []handler{hang}, 504, "may-have-run", 1},
 		{"silent booking", "POST", "/hasty", []handler{goSilent}, 504, "may-have-run", 1},
