--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -15,6 +15,7 @@
 	addCalls(app, commands)
 	distribution.Register(app, commands)
 	distribution.RegisterMemory(app, commands)
+	distribution.RegisterSessions(app, commands)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := commands[name](); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- a/node/proxy/caller_attempt.go
+++ b/node/proxy/caller_attempt.go
@@ -17,7 +17,7 @@
 const (
 	// maxSessionStreams bounds the open streams of one session. It stays below the
 	// session's backlog, above which opening a stream would block.
-	maxSessionStreams = 900
+	maxSessionStreams = 200
 	// serverDownHold is how long a server is left alone that its node can't reach
 	// or that has only started, if the node gives no time.
 	serverDownHold = 500 * time.Millisecond
--- a/wire/session/session.go
+++ b/wire/session/session.go
@@ -32,7 +32,7 @@
 
 // DefaultConfig finds a silent connection within 4 s.
 func DefaultConfig() Config {
-	return Config{ProbeInterval: 2 * time.Second, ProbeTimeout: 2 * time.Second, Backlog: 1024}
+	return Config{ProbeInterval: 2 * time.Second, ProbeTimeout: 2 * time.Second, Backlog: 256}
 }
 
 func (c Config) yamux() *yamux.Config {
