--- a/node/distribution/message.go
+++ b/node/distribution/message.go
@@ -1,9 +1,12 @@
 package distribution
 
 import (
+	"fmt"
+
 	"auburnladder.example/core/distribution"
 	"auburnladder.example/core/release"
 	"auburnladder.example/wire/peerpb"
+	"github.com/klauspost/compress/s2"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -75,6 +78,22 @@
 	return ev
 }
 
+// decompress returns the content of an S2 block of at most release.MaxValueBytes.
+func decompress(block []byte) ([]byte, error) {
+	size, err := s2.DecodedLen(block)
+	if err != nil {
+		return nil, fmt.Errorf("compressed value: %w", err)
+	}
+	if size > release.MaxValueBytes {
+		return nil, fmt.Errorf("compressed value: %d bytes, expected at most %d", size, release.MaxValueBytes)
+	}
+	data, err := s2.Decode(nil, block)
+	if err != nil {
+		return nil, fmt.Errorf("compressed value: %w", err)
+	}
+	return data, nil
+}
+
 func deltaMessage(d *release.Delta) *peerpb.ManifestDelta {
 	m := &peerpb.ManifestDelta{
 		Base:       versionMessage(d.Base),
--- a/node/distribution/message_test.go
+++ b/node/distribution/message_test.go
@@ -1,8 +1,10 @@
 package distribution
 
 import (
+	"bytes"
 	"testing"
 
+	"github.com/klauspost/compress/s2"
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
@@ -38,6 +40,19 @@
 	})
 }
 
+func TestDecompress(t *testing.T) {
+	Convey("A value survives compression, and one that claims to be too large is refused", t, func() {
+		list := bytes.Repeat([]byte(`{"id":"vm"},`), 1000)
+		back, err := decompress(s2.Encode(nil, list))
+		So(err, ShouldBeNil)
+		So(bytes.Equal(back, list), ShouldBeTrue)
+		_, err = decompress(s2.Encode(nil, make([]byte, release.MaxValueBytes+1)))
+		So(err, ShouldNotBeNil)
+		_, err = decompress([]byte("not compressed"))
+		So(err, ShouldNotBeNil)
+	})
+}
+
 func FuzzManifestReply(f *testing.F) {
 	valid, err := proto.Marshal(&peerpb.ManifestReply{Found: true, Delta: deltaMessage(testDelta())})
 	if err != nil {
--- a/node/distribution/peer.go
+++ b/node/distribution/peer.go
@@ -190,7 +190,12 @@
 		d.step(distribution.FetchFailed(a))
 		return
 	}
-	d.step(distribution.VMListReceived{Fetch: a.Fetch, Peer: a.Peer, Revision: reply.GetRevision(), Data: reply.GetList()})
+	list, err := decompress(reply.GetList())
+	if err != nil {
+		d.step(distribution.FetchFailed(a))
+		return
+	}
+	d.step(distribution.VMListReceived{Fetch: a.Fetch, Peer: a.Peer, Revision: reply.GetRevision(), Data: list})
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/distribution/serve.go
+++ b/node/distribution/serve.go
@@ -7,6 +7,7 @@
 	"auburnladder.example/core/release"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
+	"github.com/klauspost/compress/s2"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -93,5 +94,5 @@
 	d.mu.Lock()
 	revision, list := d.machine.VMList()
 	d.mu.Unlock()
-	d.send(st, &d.metrics.vmList, &peerpb.VMListReply{Revision: revision, List: list})
+	d.send(st, &d.metrics.vmList, &peerpb.VMListReply{Revision: revision, List: s2.Encode(nil, list)})
 }
