Let a node refuse the releases of other deployments

Change: the setting 'deployment'; the check stands with the approval's. Ruled out: a required setting, which would stop nodes whose settings were written before. Before: accepted. Conclusion: operators with one key for several deployments should set it.

--- a/core/release/approval.go
+++ b/core/release/approval.go
@@ -69,6 +69,8 @@
 // Trust is the set of public keys whose approval counts.
 type Trust struct {
 	keys map[string]ed25519.PublicKey
+	// deployment is the only one whose releases count, "" for all.
+	deployment string
 }
 
 // NewTrust builds a set from public keys encoded as "key-id:base64".
@@ -87,6 +89,12 @@
 	return t, nil
 }
 
+// ForDeployment returns a set with the same keys that refuses the releases of every
+// other deployment. An empty name refuses none.
+func (t *Trust) ForDeployment(name string) *Trust {
+	return &Trust{keys: t.keys, deployment: name}
+}
+
 // ParsePublicKey decodes "key-id:base64".
 func ParsePublicKey(encoded string) (string, ed25519.PublicKey, error) {
 	id, text, found := strings.Cut(strings.TrimSpace(encoded), ":")
@@ -114,6 +122,9 @@
 
 // verify checks the approvals of a, whose manifest is m.
 func (t *Trust) verify(m *Manifest, a *Approved) (*Verified, error) {
+	if t.deployment != "" && m.Deployment != t.deployment {
+		return nil, fmt.Errorf("release %d: belongs to deployment %q, expected %q", m.Sequence, m.Deployment, t.deployment)
+	}
 	signed := signedBytes(a.Manifest)
 	for _, ap := range a.Approvals {
 		key, known := t.keys[ap.KeyID]
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -145,6 +145,12 @@
 		_, err = both.Verify(&Approved{Manifest: other, Approvals: approved.Approvals})
 		So(err, ShouldNotBeNil)
 	})
+	Convey("A release of another deployment does not count", t, func() {
+		for name, accepted := range map[string]bool{"": true, "test": true, "other": false} {
+			_, err := both.ForDeployment(name).Verify(approved)
+			So(err == nil, ShouldEqual, accepted)
+		}
+	})
 	Convey("A delta needs an approval like a whole manifest", t, func() {
 		base := verified(t, newKeyPair, newTrust, manifestOf(1, map[string]int{"a": 1}))
 		target := verified(t, newKeyPair, newTrust, manifestOf(2, map[string]int{"a": 2}))
--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
+	trust = trust.ForDeployment(cfg.Deployment)
 	st := state.New(state.Identity{VM: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region})
 	reader, err := newReader(cfg, st)
 	if err != nil {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -33,6 +33,9 @@
 	Platform Platform `yaml:"platform" check:"required"`
 	// ApprovalKeys are the trusted public keys, each "key-id:base64".
 	ApprovalKeys []string `yaml:"approval_keys" check:"required"`
+	// Deployment is the only deployment whose releases this node takes; "" takes any
+	// that a trusted key approved.
+	Deployment string `yaml:"deployment"`
 	// NodeKey is the private key with which the node signs evidence for audits, as
 	// keygen writes it with the VM's id as the key's id; "" if none.
 	NodeKey string `yaml:"node_key"`
--- a/node/settings/template.go
+++ b/node/settings/template.go
@@ -62,6 +62,9 @@
   # Time between two looks at the files; changed ones are taken over without a restart.
   reload: %s
 
+# Releases of any other deployment are refused. Left out, any approved release counts.
+# deployment: zaalwijzer
+
 # convergence spreads releases fastest; bytes spends the fewest control bytes.
 preset: %s
 
