Split the proxy into ingress and egress packages

The body of a node's own answer was quoted as Go, not as JSON. Change: node/proxy/ingress and node/proxy/egress; what both share (which headers go end to end, the request id) stays in node/proxy, once instead of twice. Failure bodies are encoded as JSON. Ruled out: a third package for headers, for one function. Before: TestFailureBodyIsJSON fails with the old quoting (by reading: \x00 is no JSON escape). After: tests of both packages pass. Conclusion: each half reads alone.

--- a/bench/distribution/memory.go
+++ b/bench/distribution/memory.go
@@ -12,7 +12,7 @@
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/vmlist"
-	"auburnladder.example/node/proxy"
+	"auburnladder.example/node/proxy/ingress"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
 	"github.com/alecthomas/kingpin/v2"
@@ -103,7 +103,7 @@
 	state   *state.State
 	members *membership.Machine
 	machine *core.Machine
-	router  *proxy.Router
+	router  *ingress.Router
 	now     time.Time
 }
 
@@ -119,7 +119,7 @@
 		state:   st,
 		members: membership.New(membership.Identity{VM: self.ID}, membership.Convergence(), rng),
 		machine: machine,
-		router:  proxy.NewRouter(st, settings.PolicyP2C, zerolog.Nop()),
+		router:  ingress.NewRouter(st, settings.PolicyP2C, zerolog.Nop()),
 		now:     time.Now(),
 	}, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,8 @@
 	"auburnladder.example/node/peertls"
 	"auburnladder.example/node/platform"
 	"auburnladder.example/node/probe"
-	"auburnladder.example/node/proxy"
+	"auburnladder.example/node/proxy/egress"
+	"auburnladder.example/node/proxy/ingress"
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
@@ -39,13 +40,13 @@
 	prober  *probe.Prober
 	peers   *peers.Set
 	driver  *distribution.Driver
-	egress  *proxy.Egress
+	egress  *egress.Egress
 	tracer  *tracing.Tracer
-	drainer *proxy.Drainer
+	drainer *egress.Drainer
 	// tls is nil if connections between nodes are plain.
 	tls      *peertls.Transport
 	callers  []*fasthttp.Server
-	router   *proxy.Router
+	router   *ingress.Router
 	listens  []net.Listener
 	shutdown []func()
 }
@@ -71,16 +72,16 @@
 	if n.tls, err = newPeerTLS(cfg, log); err != nil {
 		return nil, err
 	}
-	n.router = proxy.NewRouter(st, cfg.Routing.Policy, log)
+	n.router = ingress.NewRouter(st, cfg.Routing.Policy, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
-	n.egress = proxy.NewEgress(st, cfg.Server.Address, log)
+	n.egress = egress.New(st, cfg.Server.Address, log)
 	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
 	if err != nil {
 		return nil, err
 	}
 	n.egress.Tracer = n.tracer
-	n.drainer = proxy.NewDrainer(n.egress, cmd, proxy.DefaultDrainConfig())
+	n.drainer = egress.NewDrainer(n.egress, cmd, egress.DefaultDrainConfig())
 	if expvar.Get("distribution") == nil {
 		expvar.Publish("distribution", n.driver.Metrics())
 	}
--- a/node/proxy/egress_answer.go
+++ b/node/proxy/egress/answer.go
@@ -1,4 +1,4 @@
-package proxy
+package egress
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
 	"github.com/valyala/fasthttp"
 )
@@ -164,3 +165,14 @@
 	})
 	return verdict.Ran, err
 }
+
+// responseHeaders returns the headers of an answer that are passed on.
+func responseHeaders(h *fasthttp.ResponseHeader) []*peerpb.Header {
+	var out []*peerpb.Header
+	for k, v := range h.All() {
+		if name := string(k); proxy.EndToEnd(name) {
+			out = append(out, &peerpb.Header{Name: name, Value: string(v)})
+		}
+	}
+	return out
+}
--- a/node/proxy/egress_config.go
+++ b/node/proxy/egress/config.go
@@ -1,4 +1,4 @@
-package proxy
+package egress
 
 import (
 	"time"
@@ -6,8 +6,8 @@
 	"auburnladder.example/core/admission"
 )
 
-// EgressConfig bounds the work of an Egress.
-type EgressConfig struct {
+// Config bounds the work of an Egress.
+type Config struct {
 	Server ServerConfig
 	Pause  admission.PauseConfig
 	// TickInterval is how often the process notes that it runs and old connections
@@ -27,9 +27,9 @@
 	SeenCalls int
 }
 
-// DefaultEgressConfig returns the limits of a node.
-func DefaultEgressConfig() EgressConfig {
-	return EgressConfig{
+// DefaultConfig returns the limits of a node.
+func DefaultConfig() Config {
+	return Config{
 		Server:       DefaultServerConfig(),
 		Pause:        admission.DefaultPauseConfig(),
 		TickInterval: 100 * time.Millisecond,
--- a/node/proxy/egress.go
+++ b/node/proxy/egress/egress.go
@@ -1,4 +1,6 @@
-package proxy
+// Package egress runs calls at the backend server beside this node and drains that
+// server. It alone sends to the server, so its limits and counts are exact.
+package egress
 
 import (
 	"context"
@@ -26,7 +28,7 @@
 	// Now returns the time; tests replace it.
 	Now func() time.Time
 
-	cfg     EgressConfig
+	cfg     Config
 	limiter *admission.Limiter
 	pool    *serverPool
 	seen    *seenCalls
@@ -39,13 +41,13 @@
 	server mesh.Server
 }
 
-// NewEgress returns an egress for the backend server at addr. Run must be running
+// New returns an egress for the backend server at addr. Run must be running
 // while it serves.
-func NewEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger) *Egress {
-	return newEgress(st, addr, log, DefaultEgressConfig(), time.Now)
+func New(st *state.State, addr netip.AddrPort, log zerolog.Logger) *Egress {
+	return newEgress(st, addr, log, DefaultConfig(), time.Now)
 }
 
-func newEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger, cfg EgressConfig, now func() time.Time) *Egress {
+func newEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger, cfg Config, now func() time.Time) *Egress {
 	e := &Egress{
 		State:   st,
 		Log:     log,
--- a/node/proxy/egress_rig_test.go
+++ b/node/proxy/egress/rig_test.go
@@ -1,4 +1,4 @@
-package proxy
+package egress
 
 import (
 	"bufio"
@@ -132,14 +132,14 @@
 
 func (r *egressRig) now() time.Time { return time.Now().Add(time.Duration(r.offset.Load())) }
 
-func newEgressRig(server *rawServer, change ...func(*EgressConfig)) *egressRig {
+func newEgressRig(server *rawServer, change ...func(*Config)) *egressRig {
 	st := state.New(state.Identity{VM: "tickets-1", Service: "tickets", Domain: "a", Region: "r"})
 	st.Install(egressSnapshot(), time.Now())
 	st.ReplaceVMs(&vmlist.List{Revision: 1, VMs: []vmlist.VM{
 		{ID: "shop-1", Service: "shop"},
 		{ID: "bank-1", Service: "bank"},
 	}})
-	cfg := DefaultEgressConfig()
+	cfg := DefaultConfig()
 	cfg.SeenCalls = 16
 	for _, f := range change {
 		f(&cfg)
--- a/node/proxy/server_request.go
+++ b/node/proxy/egress/server_request.go
@@ -1,4 +1,4 @@
-package proxy
+package egress
 
 import (
 	"errors"
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
 	"github.com/valyala/fasthttp"
@@ -43,13 +44,13 @@
 	req.Header.SetMethod(call.GetMethod())
 	req.Header.SetRequestURI(call.GetUri())
 	for _, h := range call.GetHeaders() {
-		if name := textproto.CanonicalMIMEHeaderKey(h.GetName()); forwarded(name) && name != "Expect" {
+		if name := textproto.CanonicalMIMEHeaderKey(h.GetName()); proxy.EndToEnd(name) && name != "Expect" {
 			req.Header.Add(name, h.GetValue())
 		}
 	}
 	req.Header.SetHost(call.GetHost())
-	if len(req.Header.Peek(RequestIDHeader)) == 0 {
-		req.Header.Set(RequestIDHeader, strconv.FormatUint(call.GetId(), 16))
+	if len(req.Header.Peek(proxy.RequestIDHeader)) == 0 {
+		req.Header.Set(proxy.RequestIDHeader, strconv.FormatUint(call.GetId(), 16))
 	}
 	if traceparent != "" {
 		req.Header.Set(tracing.Header, traceparent)
--- a/node/proxy/egress_status.go
+++ b/node/proxy/egress/status.go
@@ -1,4 +1,4 @@
-package proxy
+package egress
 
 import "auburnladder.example/core/statusapi"
 
--- a/node/proxy/ingress_answer.go
+++ b/node/proxy/ingress/answer.go
@@ -1,10 +1,11 @@
-package proxy
+package ingress
 
 import (
+	"encoding/json"
 	"errors"
-	"strconv"
 
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
 	"github.com/valyala/fasthttp"
 )
@@ -47,7 +48,7 @@
 	h.SetNoDefaultContentType(true)
 	ctx.SetStatusCode(int(a.reply.GetStatus()))
 	for _, field := range a.reply.GetHeaders() {
-		if passed(field.GetName()) {
+		if proxy.EndToEnd(field.GetName()) {
 			h.Add(field.GetName(), field.GetValue())
 		}
 	}
@@ -66,8 +67,19 @@
 	answer(ctx, status, verdict.NotRun, reason)
 }
 
+// failureBody is the JSON body of an answer that a node makes itself.
+type failureBody struct {
+	Status  int    `json:"status"`
+	Verdict string `json:"verdict"`
+	Reason  string `json:"reason"`
+}
+
 func answer(ctx *fasthttp.RequestCtx, status int, v verdict.Verdict, reason string) {
-	ctx.Error(`{"status":`+strconv.Itoa(status)+`,"verdict":"`+v.String()+`","reason":`+strconv.Quote(reason)+"}\n", status)
+	// Two strings and a number always encode.
+	body, _ := json.Marshal(failureBody{Status: status, Verdict: v.String(), Reason: reason})
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
 	ctx.Response.Header.Set(verdict.Header, v.String())
 }
--- a/node/proxy/ingress_fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -1,4 +1,4 @@
-package proxy
+package ingress
 
 import (
 	"bufio"
--- a/node/proxy/caller_headers.go
+++ b/node/proxy/ingress/headers.go
@@ -1,8 +1,9 @@
-package proxy
+package ingress
 
 import (
 	"strings"
 
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
 	"github.com/valyala/fasthttp"
 )
@@ -14,21 +15,13 @@
 	out := make([]*peerpb.Header, 0, h.Len())
 	for k, v := range h.All() {
 		name := string(k)
-		if passed(name) && !listsHeader(listed, name) {
+		if proxy.EndToEnd(name) && !listsHeader(listed, name) {
 			out = append(out, &peerpb.Header{Name: name, Value: string(v)})
 		}
 	}
 	return out
 }
 
-// passed reports whether a header of this name goes from end to end.
-func passed(name string) bool {
-	if len(name) >= len(internalPrefix) && strings.EqualFold(name[:len(internalPrefix)], internalPrefix) {
-		return false
-	}
-	return !connectionHeaders[name] && name != "Expect"
-}
-
 // listsHeader reports whether the value of a Connection header names the header.
 func listsHeader(connection, name string) bool {
 	if connection == "" {
--- a/node/proxy/ingress_history_test.go
+++ b/node/proxy/ingress/history_test.go
@@ -1,4 +1,4 @@
-package proxy
+package ingress
 
 import (
 	"math/rand/v2"
--- a/node/proxy/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -1,8 +1,13 @@
-package proxy
+// Package ingress takes requests of callers at any node: it matches the route, checks
+// who calls, picks a backend server, retries by verdict, and passes the whole answer
+// back or breaks it visibly.
+package ingress
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"auburnladder.example/core/mesh"
@@ -10,10 +15,19 @@
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
+	"auburnladder.example/wire/session"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 )
 
+// Sessions opens sessions to other nodes.
+type Sessions interface {
+	// Get returns the session to the VM, opening one if there is none.
+	Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error)
+	// Retire keeps ses from being returned again; its streams may end.
+	Retire(vm string, ses *session.Session)
+}
+
 // Ingress answers callers. Handle runs on many goroutines at once.
 type Ingress struct {
 	State    *state.State
--- a/node/proxy/ingress_test.go
+++ b/node/proxy/ingress/ingress_test.go
@@ -1,7 +1,8 @@
-package proxy
+package ingress
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -10,9 +11,11 @@
 	"testing"
 	"time"
 
+	"auburnladder.example/core/verdict"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 )
 
@@ -302,3 +305,15 @@
 		}
 	})
 }
+
+func TestFailureBodyIsJSON(t *testing.T) {
+	Convey("A reason with bytes that are no text still gives valid JSON", t, func() {
+		var ctx fasthttp.RequestCtx
+		answer(&ctx, fasthttp.StatusBadGateway, verdict.MayHaveRun, "peer said \x00\xff\"quoted\"")
+		var body failureBody
+		So(json.Unmarshal(ctx.Response.Body(), &body), ShouldBeNil)
+		So(body.Status, ShouldEqual, fasthttp.StatusBadGateway)
+		So(body.Verdict, ShouldEqual, "may-have-run")
+		So(body.Reason, ShouldContainSubstring, "\"quoted\"")
+	})
+}
--- a/node/proxy/caller_router_test.go
+++ b/node/proxy/ingress/router_test.go
@@ -1,4 +1,4 @@
-package proxy
+package ingress
 
 import (
 	"fmt"
@@ -19,36 +19,36 @@
 	Convey("A release and a VM list are in the tables of the first call after them", t, func() {
 		st := state.New(state.Identity{VM: "a"})
 		r := NewRouter(st, settings.PolicyP2C, zerolog.Nop())
-		So(r.Table("shop"), ShouldBeNil)
-		st.Install(egressSnapshot(), time.Unix(1, 0))
-		So(r.Table("shop"), ShouldBeNil)
-		vm := vmlist.VM{ID: "shop-1", Service: "shop", Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+		So(r.Table("programma"), ShouldBeNil)
+		st.Install(testSnapshot(t), time.Unix(1, 0))
+		So(r.Table("programma"), ShouldBeNil)
+		vm := vmlist.VM{ID: "programma-1", Service: "programma", Peer: netip.MustParseAddrPort("127.0.0.1:1")}
 		st.ReplaceVMs(&vmlist.List{Revision: 1, VMs: []vmlist.VM{vm}})
-		So(len(r.Table("shop").Endpoints), ShouldEqual, 1)
+		So(len(r.Table("programma").Endpoints), ShouldEqual, 1)
 		st.ReplaceVMs(&vmlist.List{Revision: 2})
-		So(r.Table("shop"), ShouldBeNil)
+		So(r.Table("programma"), ShouldBeNil)
 	})
 }
 
 func TestTablesChangeDuringASweep(t *testing.T) {
 	Convey("A call may update the tables while outliers are looked for", t, func() {
 		st := state.New(state.Identity{VM: "a"})
-		st.Install(egressSnapshot(), time.Unix(1, 0))
+		st.Install(testSnapshot(t), time.Unix(1, 0))
 		r := NewRouter(st, settings.PolicyP2C, zerolog.Nop())
 		var done atomic.Bool
 		var wg conc.WaitGroup
 		wg.Go(func() {
 			defer done.Store(true)
 			for i := range 2000 {
-				vm := vmlist.VM{ID: fmt.Sprint("shop-", i), Service: "shop", Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+				vm := vmlist.VM{ID: fmt.Sprint("programma-", i), Service: "programma", Peer: netip.MustParseAddrPort("127.0.0.1:1")}
 				st.ReplaceVMs(&vmlist.List{Revision: uint64(i + 1), VMs: []vmlist.VM{vm}})
-				r.Table("shop")
+				r.Table("programma")
 			}
 		})
 		for i := int64(0); !done.Load(); i++ {
 			r.Refresh(time.Unix(i, 0))
 		}
 		wg.Wait()
-		So(r.Table("shop").Endpoints[0].VM, ShouldEqual, "shop-1999")
+		So(r.Table("programma").Endpoints[0].VM, ShouldEqual, "programma-1999")
 	})
 }
--- a/node/run.go
+++ b/node/run.go
@@ -12,7 +12,7 @@
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/node/admin"
 	"auburnladder.example/node/peers"
-	"auburnladder.example/node/proxy"
+	"auburnladder.example/node/proxy/ingress"
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
 )
@@ -129,7 +129,7 @@
 
 // serveCallers returns the server of one listener, whose callers all have one identity.
 func (n *Node) serveCallers(caller string) func(net.Listener) error {
-	ingress := &proxy.Ingress{
+	in := &ingress.Ingress{
 		State:    n.state,
 		Sessions: n.peers,
 		Router:   n.router,
@@ -138,7 +138,7 @@
 		Tracer:   n.tracer,
 		Log:      n.log,
 	}
-	srv := ingress.NewServer()
+	srv := in.NewServer()
 	n.callers = append(n.callers, srv)
 	return srv.Serve
 }
