Do not take failures that a server passes on for shedding

Cause: a server whose own call is refused answers 503; the limiter took that for shedding and lowered the limit to 1 all along the chain, where calls through one service then waited for slots that they held themselves. The cluster did not recover when the load fell. Found by the measurement of latency at 4 and 8 hops. Ruled out: the adaptation to slow answers (floor at half of the slots already), the refusal by service time (one probe a second), the retry budget; a floor under the limit. Change: the node knows the failures of its server's own calls and ignores a 503 after one. Conclusion: overload of a chain no longer outlives the load.

--- a/node/proxy/egress/answer.go
+++ b/node/proxy/egress/answer.go
@@ -143,10 +143,7 @@
 func (x *exchange) finish(conn *serverConn, resp *fasthttp.Response, stop func() bool) {
 	reusable := stop() && !resp.ConnectionClose()
 	_ = resp.CloseBodyStream()
-	x.release(admission.Result{
-		ServiceTime: x.egress.Now().Sub(x.started),
-		Shed:        resp.StatusCode() == fasthttp.StatusServiceUnavailable,
-	})
+	x.release(x.result(resp.StatusCode()))
 	if reusable && conn.br.Buffered() == 0 {
 		x.egress.pool.put(conn)
 		return
@@ -154,6 +151,17 @@
 	x.egress.pool.discard(conn)
 }
 
+// result tells the limiter what a whole answer says about the server. A status 503 after
+// one of the server's own calls failed is passed on rather than shed.
+func (x *exchange) result(status int) admission.Result {
+	res := admission.Result{ServiceTime: x.egress.Now().Sub(x.started)}
+	if status == fasthttp.StatusServiceUnavailable {
+		res.Unmeasured = x.egress.dependencyFailedSince(x.started)
+		res.Shed = !res.Unmeasured
+	}
+	return res
+}
+
 // reject replaces an answer that can't be passed on whole. The server ran the call.
 func (x *exchange) reject(conn *serverConn, status uint32, err error) (verdict.Verdict, error) {
 	x.egress.pool.discard(conn)
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -34,6 +34,9 @@
 	seen    *seenCalls
 	pause   *admission.PauseDetector
 
+	// dependencyFailed is when a call of the server to another one last failed, in
+	// Unix nanoseconds.
+	dependencyFailed atomic.Int64
 	// active counts admitted calls until their answer was given to the peer in full.
 	active atomic.Int64
 
@@ -93,6 +96,16 @@
 	}
 }
 
+// DependencyFailed notes that a call which the backend server made through this node
+// got no good answer. It may be called from any goroutine.
+func (e *Egress) DependencyFailed() {
+	e.dependencyFailed.Store(e.Now().UnixNano())
+}
+
+func (e *Egress) dependencyFailedSince(t time.Time) bool {
+	return e.dependencyFailed.Load() >= t.UnixNano()
+}
+
 // service returns the configuration of this node's own service, or nil.
 func (e *Egress) service() *mesh.Service {
 	snap := e.State.Snapshot()
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -39,12 +39,22 @@
 	// Paused reports whether the process has just been paused for so long that its
 	// configuration may be old; nil if that is never so.
 	Paused func(now time.Time) bool
+	// Failed is called after each answer with a status of 500 or more; may be nil.
+	Failed func()
 	Tracer *tracing.Tracer
 	Log    zerolog.Logger
 }
 
-// Handle serves one request. The request keeps the snapshot that it began with.
+// Handle serves one request.
 func (g *Ingress) Handle(ctx *fasthttp.RequestCtx) {
+	g.route(ctx)
+	if g.Failed != nil && ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError {
+		g.Failed()
+	}
+}
+
+// route answers or forwards a request, which keeps the snapshot that it began with.
+func (g *Ingress) route(ctx *fasthttp.RequestCtx) {
 	snap := g.State.Snapshot()
 	if snap == nil || g.outdated() {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, "this node holds no current release yet")
--- a/node/run.go
+++ b/node/run.go
@@ -111,10 +111,10 @@
 	all := []listener{
 		{name: "peer", addr: addrs.Peer, serve: n.peers.Serve},
 		{name: "admin", addr: addrs.Admin, serve: n.serveAdmin()},
-		{name: "caller", addr: addrs.Caller, serve: n.serveCallers(mesh.PublicCaller)},
+		{name: "caller", addr: addrs.Caller, serve: n.serveCallers(mesh.PublicCaller, nil)},
 	}
 	if addrs.Local.IsValid() {
-		all = append(all, listener{name: "local", addr: addrs.Local, serve: n.serveCallers(n.cfg.VM.Service)})
+		all = append(all, listener{name: "local", addr: addrs.Local, serve: n.serveCallers(n.cfg.VM.Service, n.egress.DependencyFailed)})
 	}
 	return all
 }
@@ -128,13 +128,15 @@
 }
 
 // serveCallers returns the server of one listener, whose callers all have one identity.
-func (n *Node) serveCallers(caller string) func(net.Listener) error {
+// It calls failed after each failure, if that is not nil.
+func (n *Node) serveCallers(caller string, failed func()) func(net.Listener) error {
 	in := &ingress.Ingress{
 		State:    n.state,
 		Sessions: n.peers,
 		Router:   n.router,
 		Caller:   caller,
 		Paused:   n.driver.Paused,
+		Failed:   failed,
 		Tracer:   n.tracer,
 		Log:      n.log,
 	}
