Log each retry where it is made

Change: the event is written before the next attempt. Ruled out: nothing. Before: staticcheck fails (U1000). After: vet, staticcheck and the package's tests pass.

--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -79,6 +79,7 @@
 		if last != nil {
 			last.finish()
 			metrics.retries.Add(1)
+			c.logRetry(last)
 		}
 		last = c.try(picked.Endpoint)
 		decision := c.retry.Next(time.Now(), last.retryOutcome(), randomSource{})
@@ -93,10 +94,11 @@
 	}
 }
 
-func (c *call) logRetry(a *attempt, d retry.Decision) {
+// logRetry records that another attempt follows a.
+func (c *call) logRetry(a *attempt) {
 	c.ingress.Log.Debug().Err(a.err).Str("event", "call-retried").Str("vm", a.endpoint.VM).
 		Str("service", c.match.Target.Name).Str("route", c.match.Route.Name).
-		Stringer("verdict", a.verdict()).Dur("wait_ms", d.Wait).Msg("another attempt follows")
+		Stringer("verdict", a.verdict()).Msg("another attempt follows")
 }
 
 // conclude returns the last attempt's answer or its error. a is nil if no attempt was
