--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -69,3 +69,13 @@
 	So(c.AllReady(), ShouldBeNil)
 	return c, first
 }
+
+// rollOut amends an answer of programma, publishes the release that follows base and
+// waits until every node holds it.
+func rollOut(c *harness.Cluster, base *harness.Release, before, after string) *harness.Release {
+	next, err := c.Amend(base, "programma", before, after)
+	So(err, ShouldBeNil)
+	So(c.Publish(next), ShouldBeNil)
+	So(c.InForce(next), ShouldBeNil)
+	return next
+}
--- a/e2e/herd_test.go
+++ b/e2e/herd_test.go
@@ -32,10 +32,7 @@
 			So(err, ShouldBeNil)
 		}
 		c, first := startWith(t, harness.Options{Copies: copies, NoBackends: true})
-		second, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
-		So(err, ShouldBeNil)
-		So(c.Publish(second), ShouldBeNil)
-		So(c.InForce(second), ShouldBeNil)
+		second := rollOut(c, first, "deadline: 800ms", "deadline: 600ms")
 		before, err := c.QuietStats()
 		So(err, ShouldBeNil)
 		So(c.ResetPeaks(), ShouldBeNil)
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -26,10 +26,7 @@
 		So(err, ShouldBeNil)
 		So(load.More(200), ShouldBeNil)
 
-		amended, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
-		So(err, ShouldBeNil)
-		So(c.Publish(amended), ShouldBeNil)
-		So(c.InForce(amended), ShouldBeNil)
+		rollOut(c, first, "deadline: 800ms", "deadline: 600ms")
 		So(load.More(200), ShouldBeNil)
 		load.Stop()
 
@@ -58,10 +55,7 @@
 		load, err := c.StartLoad(4, 1)
 		So(err, ShouldBeNil)
 		So(load.More(200), ShouldBeNil)
-		amended, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
-		So(err, ShouldBeNil)
-		So(c.Publish(amended), ShouldBeNil)
-		So(c.InForce(amended), ShouldBeNil)
+		rollOut(c, first, "deadline: 800ms", "deadline: 600ms")
 		load.Stop()
 		sum, err := c.CheckCalls(load.Calls.Records())
 		So(err, ShouldBeNil)
--- a/e2e/versions_test.go
+++ b/e2e/versions_test.go
@@ -34,10 +34,7 @@
 			rng := rand.New(rand.NewPCG(versionSeed, 0))
 			poller, err := c.StartPoller()
 			So(err, ShouldBeNil)
-			second, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
-			So(err, ShouldBeNil)
-			So(c.Publish(second), ShouldBeNil)
-			So(c.InForce(second), ShouldBeNil)
+			second := rollOut(c, first, "deadline: 800ms", "deadline: 600ms")
 
 			So(c.SetMode(mode), ShouldBeNil)
 			restartNodes(c, rng)
@@ -58,14 +55,12 @@
 		rng := rand.New(rand.NewPCG(versionSeed, 1))
 		poller, err := c.StartPoller()
 		So(err, ShouldBeNil)
-		second, err := c.Amend(first, "programma", "deadline: 800ms", "deadline: 600ms")
-		So(err, ShouldBeNil)
-		So(c.Publish(second), ShouldBeNil)
-		So(c.InForce(second), ShouldBeNil)
+		second := rollOut(c, first, "deadline: 800ms", "deadline: 600ms")
 		So(c.Publish(first), ShouldBeNil)
 		restartNodes(c, rng)
 		So(c.InForce(second), ShouldBeNil)
 		poller.Stop()
+		So(poller.Holdings.Len(), ShouldBeGreaterThan, 0)
 		So(harness.CheckHoldings(poller.Holdings.Records()), ShouldBeNil)
 	})
 }
@@ -97,6 +92,7 @@
 		}
 		So(c.InForce(third), ShouldBeNil)
 		poller.Stop()
+		So(poller.Holdings.Len(), ShouldBeGreaterThan, 0)
 		So(harness.CheckHoldings(poller.Holdings.Records()), ShouldBeNil)
 	})
 }
