--- a/bench/calls/cluster.go
+++ b/bench/calls/cluster.go
@@ -133,7 +133,7 @@
 }
 
 func (c *cluster) startNode(v *vm) error {
-	n, err := node.New(v.settings, zerolog.Nop())
+	n, err := node.New(v.settings, nil, zerolog.Nop())
 	if err != nil {
 		return err
 	}
--- a/core/mesh/model.go
+++ b/core/mesh/model.go
@@ -13,6 +13,13 @@
 // PublicCaller is the caller class of requests from outside the mesh.
 const PublicCaller = "public"
 
+const (
+	// AnyCaller in a list of callers admits everyone.
+	AnyCaller = "*"
+	// AnyMethod as the only method of a route matches all methods.
+	AnyMethod = "*"
+)
+
 // Service is the content of one chunk: the configuration generated from one
 // team's questionnaire.
 type Service struct {
@@ -27,6 +34,18 @@
 	Stop      Stop       `json:"stop"`
 	Resources []Resource `json:"resources"`
 	Routes    []Route    `json:"routes"`
+	// Clients bounds what clients of the nodes may send; nil for the nodes' defaults.
+	Clients *ClientLimits `json:"client_limits,omitempty"`
+}
+
+// ClientLimits bounds what a client may send and how long it may take.
+type ClientLimits struct {
+	// HeaderBytes bounds the head of a request.
+	HeaderBytes int `json:"header_bytes"`
+	// HeaderTimeout bounds the time from the first byte of a head to its end.
+	HeaderTimeout Millis `json:"header_timeout_ms"`
+	// IdleTimeout bounds the time between two requests on a connection.
+	IdleTimeout Millis `json:"idle_timeout_ms"`
 }
 
 // Priority is the importance of a service's calls under overload.
@@ -41,7 +60,8 @@
 
 // Server describes the limits of each backend server of the service.
 type Server struct {
-	// Slots is the number of requests that a server works on at once.
+	// Slots is the number of requests that a server works on at once; 0 if the VM list
+	// gives it for each server.
 	Slots int `json:"slots"`
 	// Connections bounds the connections to a server.
 	Connections int `json:"connections"`
@@ -82,14 +102,30 @@
 	Name string `json:"name"`
 	// Methods lists HTTP methods in upper case.
 	Methods []string `json:"methods"`
+	// Host replaces the service's hosts for this route; "" if they apply.
+	Host string `json:"host,omitempty"`
 	// Prefix matches whole path segments from the start of the path.
 	Prefix string `json:"prefix"`
 	// Service and Resource are the target; both must be in the same release.
 	Service    string `json:"service"`
 	Resource   string `json:"resource"`
 	Idempotent bool   `json:"idempotent"`
-	Retry      Retry  `json:"retry"`
-	Deadline   Millis `json:"deadline_ms"`
+	// Split divides the requests between services; empty if all go to Service, which
+	// is the first part otherwise.
+	Split    []SplitPart `json:"split,omitempty"`
+	Retry    Retry       `json:"retry"`
+	Deadline Millis      `json:"deadline_ms"`
+	// Objective is the latency within which an answer is worth most; 0 if none is set.
+	Objective Millis `json:"objective_ms,omitempty"`
+	// Rank orders routes under overload, 0 first; nil if the service's priority does.
+	Rank *int `json:"rank,omitempty"`
+}
+
+// SplitPart is one part of a traffic split.
+type SplitPart struct {
+	Service string `json:"service"`
+	// Weight is the part's share relative to the sum of all weights.
+	Weight float64 `json:"weight"`
 }
 
 // Retry says what may be tried again.
--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -28,6 +28,27 @@
 	Route    *Route
 	Target   *Service
 	Resource *Resource
+	// Parts are the services of a split route with the sums of the weights up to and
+	// including each, relative to all; empty if all requests go to Target.
+	Parts []MatchPart
+}
+
+// MatchPart is a service of a split route.
+type MatchPart struct {
+	Service *Service
+	// UpTo is the upper end of the part's interval within 0 to 1.
+	UpTo float64
+}
+
+// Pick returns the service for a request at position at of the split, 0 up to but
+// excluding 1.
+func (m *Match) Pick(at float64) *Service {
+	for _, p := range m.Parts {
+		if at < p.UpTo {
+			return p.Service
+		}
+	}
+	return m.Target
 }
 
 // ChunkSource returns the verified bytes of a chunk.
@@ -112,7 +133,7 @@
 
 func (s *Snapshot) link(svc *Service) error {
 	for i, c := range svc.Callers {
-		if c != PublicCaller && s.services[c] == nil {
+		if c != PublicCaller && c != AnyCaller && s.services[c] == nil {
 			return svc.fail(fmt.Sprintf("callers[%d]", i), fmt.Sprintf("service %q is not in this release", c))
 		}
 	}
@@ -122,6 +143,10 @@
 		if err != nil {
 			return err
 		}
+		if host := m.Route.Host; host != "" {
+			s.hosts[hostName(host)] = append(s.hosts[hostName(host)], m)
+			continue
+		}
 		matches = append(matches, m)
 	}
 	for _, h := range svc.Hosts {
@@ -143,7 +168,27 @@
 	if res == nil {
 		return nil, svc.fail(fmt.Sprintf("routes[%d].resource", i), fmt.Sprintf("service %q has no resource %q", r.Service, r.Resource))
 	}
-	return &Match{Owner: svc, Route: r, Target: target, Resource: res}, nil
+	m := &Match{Owner: svc, Route: r, Target: target, Resource: res}
+	return m, s.resolveSplit(svc, i, m)
+}
+
+// resolveSplit fills in the parts of a split route.
+func (s *Snapshot) resolveSplit(svc *Service, i int, m *Match) error {
+	sum := 0.0
+	for _, part := range m.Route.Split {
+		sum += part.Weight
+	}
+	upTo := 0.0
+	for j, part := range m.Route.Split {
+		target := s.services[part.Service]
+		if target == nil {
+			field := fmt.Sprintf("routes[%d].split[%d].service", i, j)
+			return svc.fail(field, fmt.Sprintf("service %q is not in this release", part.Service))
+		}
+		upTo += part.Weight / sum
+		m.Parts = append(m.Parts, MatchPart{Service: target, UpTo: upTo})
+	}
+	return nil
 }
 
 func (s *Service) resource(name string) *Resource {
@@ -155,6 +200,16 @@
 	return nil
 }
 
+// ClientLimits returns what bounds the clients of the nodes, nil for their defaults.
+func (s *Snapshot) ClientLimits() *ClientLimits {
+	for _, svc := range s.services {
+		if svc.Clients != nil {
+			return svc.Clients
+		}
+	}
+	return nil
+}
+
 // Service returns the configuration of the named service, or nil.
 func (s *Snapshot) Service(name string) *Service {
 	return s.services[name]
@@ -174,16 +229,21 @@
 // host and its case do not matter.
 func (s *Snapshot) MatchRoute(host, method, path string) *Match {
 	for _, m := range s.hosts[hostName(host)] {
-		if hasPathPrefix(path, m.Route.Prefix) && slices.Contains(m.Route.Methods, method) {
+		if hasPathPrefix(path, m.Route.Prefix) && m.Route.allows(method) {
 			return m
 		}
 	}
 	return nil
 }
 
+// allows reports whether the route takes requests with the method.
+func (r *Route) allows(method string) bool {
+	return r.Methods[0] == AnyMethod || slices.Contains(r.Methods, method)
+}
+
 // Allows reports whether caller may call the service.
 func (s *Service) Allows(caller string) bool {
-	return slices.Contains(s.Callers, caller)
+	return slices.Contains(s.Callers, caller) || slices.Contains(s.Callers, AnyCaller)
 }
 
 // hostName returns the name in an HTTP authority, in lower case.
--- /dev/null
+++ b/core/mesh/source.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"auburnladder.example/core/release"
+)
+
+// ApprovedBySource is the key id of releases whose approval consists in being
+// published at the source.
+const ApprovedBySource = "source"
+
+// Published is a release that its source approved: it has no signatures.
+type Published struct {
+	Deployment string
+	Sequence   uint64
+	Services   []*Service
+}
+
+// BuildPublished encodes p as a release and builds its snapshot. Services that did not
+// change are taken over from earlier, which may be nil. On an error nothing is built.
+func BuildPublished(earlier *Snapshot, p *Published) (*Snapshot, error) {
+	services := slices.Clone(p.Services)
+	slices.SortFunc(services, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	m := &release.Manifest{Format: release.FormatVersion, Deployment: p.Deployment, Sequence: p.Sequence}
+	chunks := make(map[release.Digest][]byte, len(services))
+	for _, svc := range services {
+		data, err := svc.Encode()
+		if err != nil {
+			return nil, err
+		}
+		digest := release.DigestOf(data)
+		chunks[digest] = data
+		m.Chunks = append(m.Chunks, release.ChunkRef{Name: svc.Name, Digest: digest, Size: len(data)})
+	}
+	encoded, err := m.Encode()
+	if err != nil {
+		return nil, fmt.Errorf("published release: %w", err)
+	}
+	v := &release.Verified{
+		Version:  release.Version{Sequence: m.Sequence, Digest: release.DigestOf(encoded)},
+		Manifest: m,
+		KeyID:    ApprovedBySource,
+		Approved: &release.Approved{Manifest: encoded},
+	}
+	return Rebuild(earlier, v, func(d release.Digest) ([]byte, bool) {
+		data, found := chunks[d]
+		return data, found
+	})
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -12,7 +12,7 @@
 // and a small number a second so that a quiet service can retry at all. It may be
 // used by many goroutines at once.
 type Budget struct {
-	cfg      BudgetConfig
+	cfg      atomic.Pointer[BudgetConfig]
 	tokens   atomic.Int64 // in thousandths of a retry
 	refilled atomic.Int64 // unix nanoseconds up to which PerSecond is credited
 }
@@ -30,15 +30,21 @@
 
 // NewBudget returns a full budget.
 func NewBudget(now time.Time, cfg BudgetConfig) *Budget {
-	b := &Budget{cfg: cfg}
+	b := &Budget{}
+	b.cfg.Store(&cfg)
 	b.tokens.Store(int64(cfg.Burst) * milli)
 	b.refilled.Store(now.UnixNano())
 	return b
 }
 
+// SetConfig replaces the limits; what is saved up stays.
+func (b *Budget) SetConfig(cfg BudgetConfig) {
+	b.cfg.Store(&cfg)
+}
+
 // Deposit credits one call's first attempt.
 func (b *Budget) Deposit() {
-	b.credit(int64(b.cfg.Ratio * milli))
+	b.credit(int64(b.cfg.Load().Ratio * milli))
 }
 
 // Withdraw takes one retry from the budget, or returns false if it is spent.
@@ -60,14 +66,14 @@
 func (b *Budget) refill(now time.Time) {
 	last := b.refilled.Load()
 	elapsed := time.Duration(now.UnixNano() - last)
-	amount := int64(elapsed.Seconds() * b.cfg.PerSecond * milli)
+	amount := int64(elapsed.Seconds() * b.cfg.Load().PerSecond * milli)
 	if amount > 0 && b.refilled.CompareAndSwap(last, now.UnixNano()) {
 		b.credit(amount)
 	}
 }
 
 func (b *Budget) credit(amount int64) {
-	limit := int64(b.cfg.Burst) * milli
+	limit := int64(b.cfg.Load().Burst) * milli
 	for {
 		old := b.tokens.Load()
 		if old >= limit || b.tokens.CompareAndSwap(old, min(limit, old+amount)) {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -24,6 +24,10 @@
 	MaxBackoff time.Duration
 	// MinRemaining is the time to the deadline below which no attempt is started.
 	MinRemaining time.Duration
+	// FreeMoves is the number of attempts of a call that may follow refusals by nodes
+	// without counting as retries: no server received the request. More finds the last
+	// free server, and costs messages when all are busy.
+	FreeMoves int
 }
 
 // DefaultConfig returns the limits used in production.
@@ -43,6 +47,8 @@
 	Status int
 	// Final says that no other attempt could help.
 	Final bool
+	// Reached says that a backend server received the request, also if it refused it.
+	Reached bool
 }
 
 // Reason says why a call isn't tried again.
@@ -92,6 +98,7 @@
 	budget   *Budget
 	deadline time.Time
 	attempts int
+	moves    int
 	verdict  verdict.Verdict
 }
 
@@ -120,6 +127,9 @@
 // Next records the outcome of an attempt and decides on another one. Withdrawing
 // from the budget is part of an allowed decision.
 func (c *Call) Next(now time.Time, o Outcome, rnd rand.Source) Decision {
+	if c.movesOn(now, o) {
+		return Decision{Reason: Allowed}
+	}
 	c.attempts++
 	c.verdict = worst(c.verdict, o.Verdict)
 	if reason := c.permitted(o); reason != Allowed {
@@ -138,6 +148,16 @@
 	return Decision{Reason: Allowed, Wait: wait}
 }
 
+// movesOn reports whether the call goes on at another server without a retry, because
+// no server received it.
+func (c *Call) movesOn(now time.Time, o Outcome) bool {
+	if o.Verdict != verdict.NotRun || o.Reached || o.Final || c.moves >= c.cfg.FreeMoves {
+		return false
+	}
+	c.moves++
+	return c.Remaining(now) >= c.cfg.MinRemaining
+}
+
 // permitted applies the rules that depend on the outcome alone.
 func (c *Call) permitted(o Outcome) Reason {
 	switch {
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -18,6 +18,11 @@
 	Peer netip.AddrPort
 	// Leaving excludes the server from new work.
 	Leaving bool
+	// Instance identifies the run of the server; a new run starts cold. "" if unknown.
+	Instance string
+	// Slots is the number of requests that the server works on at once; 0 if the
+	// service's configuration says.
+	Slots int
 }
 
 // Load is the state of a backend server as its own node counts it.
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -200,7 +200,7 @@
 		e.coldSince.Store(now.UnixNano())
 	}
 	e.leaving.Store(leaving)
-	e.slots.Store(uint32(svc.Server.Slots))
+	e.slots.Store(uint32(max(1, cmp.Or(s.Slots, svc.Server.Slots))))
 	return e
 }
 
--- a/core/vmlist/vmlist.go
+++ b/core/vmlist/vmlist.go
@@ -29,6 +29,14 @@
 	Admin netip.AddrPort `json:"admin"`
 	// Leaving marks a VM that is about to be removed.
 	Leaving bool `json:"leaving,omitempty"`
+	// Instance identifies the run of the backend server; "" if the list doesn't say.
+	Instance string `json:"instance,omitempty"`
+	// Server is the address of the backend server: "ip:port"; zero if the list doesn't
+	// say.
+	Server netip.AddrPort `json:"server,omitzero"`
+	// Slots is the number of requests that the server works on at once; 0 if the
+	// release says.
+	Slots int `json:"slots,omitempty"`
 }
 
 // List is the whole list at one revision of the platform's service. Revision
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -18,7 +18,8 @@
 }
 
 // New returns the application; the caller gives it a listener.
-func New(r *query.Reader) *fiber.App {
+// It answers like statusapi.ReadyPath at readyPath too, unless that is "".
+func New(r *query.Reader, readyPath string) *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "auburnladder-node"})
 	app.Get(statusapi.StatusPath, func(c fiber.Ctx) error { return status(c, r) })
 	app.Get(statusapi.ConfigPath, func(c fiber.Ctx) error { return config(c, r) })
@@ -28,6 +29,9 @@
 	app.Get(statusapi.EvidencePath, func(c fiber.Ctx) error { return signEvidence(c, r) })
 	app.Get(statusapi.HealthPath, func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get(statusapi.ReadyPath, func(c fiber.Ctx) error { return ready(c, r) })
+	if readyPath != "" {
+		app.Get(readyPath, func(c fiber.Ctx) error { return ready(c, r) })
+	}
 	app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
 	return app
 }
--- a/node/cmd/auburnladder-node/main.go
+++ b/node/cmd/auburnladder-node/main.go
@@ -71,7 +71,7 @@
 
 func serve(cfg *settings.Settings, logs io.Writer) int {
 	log := newLogger(cfg, logs)
-	n, err := node.New(cfg, log)
+	n, err := node.New(cfg, newStoreAdapter(cfg), log)
 	if err != nil {
 		log.Error().Err(err).Str("event", "start-failed").Msg("node not started")
 		return exitUsage
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -25,7 +25,11 @@
 
 // extendStatus adds the node's part in the distribution and its backend server.
 func (n *Node) extendStatus(s *statusapi.Status) {
-	s.Reader = n.driver.Status().Reader
-	s.SourceFailing = n.driver.SourceFailing()
+	if n.follower != nil {
+		s.SourceFailing = n.follower.Failing()
+	} else {
+		s.Reader = n.driver.Status().Reader
+		s.SourceFailing = n.driver.SourceFailing()
+	}
 	s.Server, s.Load = n.egress.ServerStatus()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/distribution"
+	"auburnladder.example/node/follow"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/peertls"
 	"auburnladder.example/node/platform"
@@ -39,34 +40,37 @@
 	command *command.Commander
 	prober  *probe.Prober
 	peers   *peers.Set
-	driver  *distribution.Driver
-	egress  *egress.Egress
-	tracer  *tracing.Tracer
-	drainer *egress.Drainer
+	// driver takes releases from the project's service, follower from a key-value store;
+	// one of them is nil.
+	driver   *distribution.Driver
+	follower *follow.Follower
+	store    *StoreAdapter
+	egress   *egress.Egress
+	tracer   *tracing.Tracer
+	drainer  *egress.Drainer
+	// stopper takes the node out of service instead of drainer with a key-value store.
+	stopper *stopper
 	// tls is nil if connections between nodes are plain.
-	tls      *peertls.Transport
-	callers  []*fasthttp.Server
-	router   *ingress.Router
-	listens  []net.Listener
-	shutdown []func()
+	tls     *peertls.Transport
+	callers []*fasthttp.Server
+	// ingresses are what the servers in callers serve.
+	ingresses []*ingress.Ingress
+	router    *ingress.Router
+	listens   []net.Listener
+	shutdown  []func()
 }
 
-// New prepares a node: it checks the keys and opens every listener.
-func New(cfg *settings.Settings, log zerolog.Logger) (*Node, error) {
-	trust, err := release.NewTrust(cfg.ApprovalKeys)
-	if err != nil {
-		return nil, err
-	}
-	trust = trust.ForDeployment(cfg.Deployment)
+// New prepares a node. The adapter is for settings with a key-value store as source, nil
+// otherwise.
+func New(cfg *settings.Settings, store *StoreAdapter, log zerolog.Logger) (*Node, error) {
 	st := state.New(state.Identity{VM: cfg.VM.ID, Service: cfg.VM.Service, Domain: cfg.VM.Domain, Region: cfg.VM.Region})
 	reader, err := newReader(cfg, st)
 	if err != nil {
 		return nil, err
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
-	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd}
-	n.driver, err = distribution.New(n.distributionConfig(trust), platform.NewClient(platformConfig(cfg)), cmd, log)
-	if err != nil {
+	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd, store: store}
+	if err = n.newDriver(); err != nil {
 		return nil, err
 	}
 	if n.tls, err = newPeerTLS(cfg, log); err != nil {
@@ -81,14 +85,35 @@
 		return nil, err
 	}
 	n.egress.Tracer = n.tracer
-	n.drainer = egress.NewDrainer(n.egress, cmd, egress.DefaultDrainConfig())
-	if expvar.Get("distribution") == nil {
-		expvar.Publish("distribution", n.driver.Metrics())
+	if store == nil {
+		n.drainer = egress.NewDrainer(n.egress, cmd, egress.DefaultDrainConfig())
+	} else {
+		n.useStore()
 	}
 	reader.Extend = n.extendStatus
 	return n, nil
 }
 
+// newDriver prepares what takes releases from the project's service.
+func (n *Node) newDriver() error {
+	if n.store != nil {
+		return nil
+	}
+	trust, err := release.NewTrust(n.cfg.ApprovalKeys)
+	if err != nil {
+		return err
+	}
+	trust = trust.ForDeployment(n.cfg.Deployment)
+	n.driver, err = distribution.New(n.distributionConfig(trust), platform.NewClient(platformConfig(n.cfg)), n.command, n.log)
+	if err != nil {
+		return err
+	}
+	if expvar.Get("distribution") == nil {
+		expvar.Publish("distribution", n.driver.Metrics())
+	}
+	return nil
+}
+
 // newReader returns what operators read the node through.
 func newReader(cfg *settings.Settings, st *state.State) (*query.Reader, error) {
 	r := &query.Reader{State: st, Now: time.Now, Journal: query.NewJournal(time.Now)}
@@ -126,7 +151,7 @@
 
 // ServeStream implements peers.Handler.
 func (n *Node) ServeStream(ctx context.Context, from peers.Peer, req *peerpb.Request, st *session.Stream) {
-	if n.driver.ServeStream(from.VM, req, st) {
+	if n.serveSource(from, req, st) {
 		return
 	}
 	if call := req.GetCall(); call != nil {
--- a/node/proxy/egress/answer.go
+++ b/node/proxy/egress/answer.go
@@ -27,9 +27,12 @@
 	resp.StreamBody = true
 	resp.SkipBody = x.call.GetMethod() == fasthttp.MethodHead
 	resp.Header.SetNoDefaultContentType(true)
-	if err := resp.ReadLimitBody(conn.br, 0); err != nil {
+	if err := x.readHead(conn, resp); err != nil {
 		return x.fail(ctx, conn, unexpectedEOF(err))
 	}
+	if x.notExecuted(resp) {
+		return x.refusedByServer(conn, resp, stop)
+	}
 	head := &peerpb.Reply{
 		Verdict: peerpb.Verdict_VERDICT_RAN,
 		Status:  uint32(resp.StatusCode()),
@@ -56,9 +59,10 @@
 		return nil, nil
 	}
 	size := resp.Header.ContentLength()
-	if size == sizeToClose {
+	if size == sizeToClose && !x.egress.ByList {
 		return nil, errUnbounded
 	}
+	x.endsByClose = size == sizeToClose
 	if limit := x.call.GetMaxResponseBytes(); limit > 0 && int64(size) > limit {
 		return nil, fmt.Errorf("%w: %d bytes of at most %d", errTooLong, size, limit)
 	}
@@ -141,7 +145,7 @@
 
 // finish gives back the slot and the connection after a whole answer.
 func (x *exchange) finish(conn *serverConn, resp *fasthttp.Response, stop func() bool) {
-	reusable := stop() && !resp.ConnectionClose()
+	reusable := stop() && !resp.ConnectionClose() && !x.endsByClose
 	_ = resp.CloseBodyStream()
 	x.release(x.result(resp.StatusCode()))
 	if reusable && conn.br.Buffered() == 0 {
--- a/node/proxy/egress/check.go
+++ b/node/proxy/egress/check.go
@@ -26,9 +26,54 @@
 	return &refusalError{why: why, detail: fmt.Sprintf(format, args...)}
 }
 
-// check decides whether the call may go to this server at all, and returns the route
-// that it takes.
-func (e *Egress) check(x *exchange) (*mesh.Match, error) {
+// check decides whether the call may go to this server at all.
+func (e *Egress) check(x *exchange) error {
+	if e.ByList {
+		return e.checkListed(x)
+	}
+	m, err := e.checkRelease(x)
+	if err == nil {
+		x.priority = m.Owner.Priority
+	}
+	return err
+}
+
+// checkListed decides by the VM list. The run of the server is the one that the list
+// names now: the server itself refuses a request meant for another one.
+func (e *Egress) checkListed(x *exchange) error {
+	vm := e.listed()
+	switch {
+	case e.State.Leaving():
+		return refused(peerpb.Refusal_REFUSAL_LEAVING, "this node is stopping")
+	case vm == nil:
+		return refused(peerpb.Refusal_REFUSAL_LEAVING, "the VM list names no server beside this node")
+	case vm.Leaving:
+		return refused(peerpb.Refusal_REFUSAL_LEAVING, "this server is leaving")
+	case vm.Service != x.call.GetService():
+		return refused(peerpb.Refusal_REFUSAL_WRONG_SERVICE, "this server belongs to service %q", vm.Service)
+	}
+	if err := checkRequest(x.call); err != nil {
+		return refused(peerpb.Refusal_REFUSAL_BAD_REQUEST, "%v", err)
+	}
+	x.instance = vm.Instance
+	x.priority = priorityOf(x.call.GetRank())
+	return nil
+}
+
+// priorityOf maps the rank of a route.
+func priorityOf(rank uint32) mesh.Priority {
+	switch rank {
+	case 0:
+		return mesh.PriorityHigh
+	case 1:
+		return mesh.PriorityNormal
+	default:
+		return mesh.PriorityLow
+	}
+}
+
+// checkRelease decides by the release in force and returns the route that the call takes.
+func (e *Egress) checkRelease(x *exchange) (*mesh.Match, error) {
 	call := x.call
 	snap := e.State.Snapshot()
 	switch {
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -12,6 +12,8 @@
 
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
@@ -27,6 +29,11 @@
 	Tracer *tracing.Tracer
 	// Now returns the time; tests replace it.
 	Now func() time.Time
+	// Headers names the headers that callers and servers use.
+	Headers wirenames.Headers
+	// ByList has the VM list say which server stands beside the node and whether it takes
+	// work. Peers then decide which calls lead to its service, and are believed.
+	ByList bool
 
 	cfg     Config
 	limiter *admission.Limiter
@@ -85,6 +92,9 @@
 	}
 }
 
+// Active returns the number of admitted calls whose answer was not given in full.
+func (e *Egress) Active() int64 { return e.active.Load() }
+
 // Load returns the state of the backend server as sent with every reply.
 func (e *Egress) Load() *peerpb.Load {
 	l := e.limiter.Load()
@@ -115,6 +125,35 @@
 	return snap.Service(e.State.Identity.Service)
 }
 
+// listed returns what the VM list says of this node's VM, or nil.
+func (e *Egress) listed() *vmlist.VM {
+	return e.State.Fleet().VM(e.State.Identity.VM)
+}
+
+// serverLimits returns the limits of the server beside the node, false if they are not
+// known.
+func (e *Egress) serverLimits() (mesh.Server, bool) {
+	if !e.ByList {
+		svc := e.service()
+		if svc == nil {
+			return mesh.Server{}, false
+		}
+		return svc.Server, true
+	}
+	vm, snap := e.listed(), e.State.Snapshot()
+	if vm == nil || snap == nil {
+		return mesh.Server{}, false
+	}
+	svc := snap.Service(vm.Service)
+	if svc == nil {
+		return mesh.Server{}, false
+	}
+	server := svc.Server
+	server.Slots = vm.Slots
+	server.Connections = max(server.Connections, server.Slots)
+	return server, true
+}
+
 // publishLoad shows the limiter's counts among the metrics.
 func (e *Egress) publishLoad() {
 	l := e.limiter.Load()
@@ -131,19 +170,19 @@
 
 // adoptServer takes the server's limits from the release in force.
 func (e *Egress) adoptServer() {
-	svc := e.service()
-	if svc == nil {
+	server, known := e.serverLimits()
+	if !known {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if svc.Server == e.server {
+	if server == e.server {
 		return
 	}
 	first := e.server == mesh.Server{}
-	e.server = svc.Server
-	e.pool.setLimit(svc.Server.Connections)
-	e.limiter.SetServer(e.Now(), svc.Server)
+	e.server = server
+	e.pool.setLimit(server.Connections)
+	e.limiter.SetServer(e.Now(), server)
 	if first {
 		e.limiter.Restart(e.Now())
 	}
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -41,8 +41,14 @@
 	traceparent string
 	// stale is set if the call may have waited while this process was paused.
 	stale bool
+	// priority orders the call under overload.
+	priority mesh.Priority
+	// instance is the run of the server that the call is meant for, "" if unknown.
+	instance string
 	// headSent is set once a Reply was sent.
 	headSent bool
+	// endsByClose is set if the answer ends with its connection.
+	endsByClose bool
 	// released is set once the slot was given back.
 	released bool
 	started  time.Time
@@ -51,8 +57,7 @@
 // serve answers the call in any case and returns its verdict.
 func (x *exchange) serve(ctx context.Context) (verdict.Verdict, error) {
 	e := x.egress
-	m, err := e.check(x)
-	if err != nil {
+	if err := e.check(x); err != nil {
 		return x.refuse(err)
 	}
 	e.adoptServer()
@@ -64,9 +69,16 @@
 	if !x.call.GetMore() {
 		watcher.Go(func() { x.watch(cancel) })
 	}
-	if err := x.admit(ctx, m); err != nil {
+	if err := x.admit(ctx); err != nil {
 		return x.refuse(err)
 	}
+	if e.ByList {
+		// The list may have changed while the call waited.
+		if err := e.check(x); err != nil {
+			x.release(admission.Result{Unmeasured: true})
+			return x.refuse(err)
+		}
+	}
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	defer x.release(admission.Result{Unmeasured: true})
@@ -84,12 +96,12 @@
 	cancel()
 }
 
-func (x *exchange) admit(ctx context.Context, m *mesh.Match) error {
+func (x *exchange) admit(ctx context.Context) error {
 	l := x.egress.limiter
 	d := l.Acquire(x.egress.Now(), admission.Request{
 		Caller:   x.call.GetCaller(),
-		Route:    m.Route.Name,
-		Priority: m.Owner.Priority,
+		Route:    x.call.GetRoute(),
+		Priority: x.priority,
 		Deadline: x.deadline,
 	})
 	if d.Outcome == admission.Queued {
@@ -137,6 +149,7 @@
 	}
 	span := x.egress.Tracer.Start(tracing.HopServer, x.traceparent)
 	fillRequest(req, x.call, body, span.Traceparent())
+	x.setOwnHeaders(req)
 	v, err := x.forward(ctx, req, watcher, cancel)
 	span.End(v, err)
 	return v, err
--- a/node/proxy/egress/server_request.go
+++ b/node/proxy/egress/server_request.go
@@ -38,6 +38,23 @@
 	return nil
 }
 
+// setOwnHeaders sets the headers that nodes owe the server.
+func (x *exchange) setOwnHeaders(req *fasthttp.Request) {
+	names := &x.egress.Headers
+	if names.Caller == "" {
+		if len(req.Header.Peek(proxy.RequestIDHeader)) == 0 {
+			req.Header.Set(proxy.RequestIDHeader, strconv.FormatUint(x.call.GetId(), 16))
+		}
+		return
+	}
+	req.Header.Set(names.Caller, x.call.GetCaller())
+	if x.instance != "" {
+		req.Header.Set(names.Target, x.instance)
+	}
+	left := x.deadline.Sub(x.egress.Now())
+	req.Header.Set(names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+}
+
 func invalidInURI(r rune) bool { return r <= ' ' || r == 0x7f }
 
 func fillRequest(req *fasthttp.Request, call *peerpb.Call, body io.Reader, traceparent string) {
@@ -49,9 +66,6 @@
 		}
 	}
 	req.Header.SetHost(call.GetHost())
-	if len(req.Header.Peek(proxy.RequestIDHeader)) == 0 {
-		req.Header.Set(proxy.RequestIDHeader, strconv.FormatUint(call.GetId(), 16))
-	}
 	if traceparent != "" {
 		req.Header.Set(tracing.Header, traceparent)
 	}
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -21,6 +21,9 @@
 	// serverDownHold is how long a server is left alone that its node can't reach
 	// or that has only started, if the node gives no time.
 	serverDownHold = 500 * time.Millisecond
+	// replyMargin is how much sooner than the caller's node the server's node gives up,
+	// so that its refusal still arrives.
+	replyMargin = 5 * time.Millisecond
 )
 
 // attempt is one try of a call at one backend server.
@@ -98,7 +101,9 @@
 	defer a.watch.stop()
 	msg := a.call.message
 	msg.Attempt = uint32(a.call.retry.Attempts() + 1)
-	msg.RemainingUs = uint64(max(0, time.Until(a.deadline).Microseconds()))
+	msg.RemainingUs = uint64(max(0, (time.Until(a.deadline) - replyMargin).Microseconds()))
+	msg.ObjectiveUs = time.Until(a.call.objective).Microseconds()
+	msg.Instance = a.endpoint.Instance
 	req := peerpb.Request{Kind: &peerpb.Request_Call{Call: msg}}
 	if err := a.stream.Send(&req); err != nil {
 		return err
@@ -184,6 +189,8 @@
 		a.outcome.RetryAfter = max(a.outcome.RetryAfter, serverDownHold)
 	case peerpb.Refusal_REFUSAL_WRONG_SERVICE:
 		a.outcome.Kind = routing.Unreachable
+	case peerpb.Refusal_REFUSAL_SHED:
+		a.outcome.Kind = routing.Shed
 	case peerpb.Refusal_REFUSAL_DUPLICATE:
 		v = verdict.MayHaveRun
 	}
@@ -193,7 +200,7 @@
 // retryOutcome returns what the decision on another attempt needs.
 func (a *attempt) retryOutcome() retry.Outcome {
 	if a.err != nil {
-		return retry.Outcome{Verdict: verdict.Of(a.err), Final: a.final()}
+		return retry.Outcome{Verdict: verdict.Of(a.err), Final: a.final(), Reached: a.reply.GetReachedServer()}
 	}
 	return retry.Outcome{Verdict: verdict.Ran, Status: int(a.reply.GetStatus())}
 }
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -54,6 +54,10 @@
 	ctx     *fasthttp.RequestCtx
 	match   *mesh.Match
 	message *peerpb.Call
+	// target is the service that runs the request.
+	target *mesh.Service
+	// objective is when an answer ceases to be worth most.
+	objective time.Time
 	// traceparent is the trace context of the call; each attempt has one below it.
 	traceparent string
 	retry       retry.Call
@@ -65,7 +69,7 @@
 // run makes attempts until one is final. The returned attempt holds an answer if
 // err is nil; the caller must finish it. The error carries the verdict on the call.
 func (c *call) run() (*attempt, error) {
-	table := c.ingress.Router.Table(c.match.Target.Name)
+	table := c.ingress.Router.Table(c.target.Name)
 	if table == nil {
 		return nil, verdict.Wrap(verdict.NotRun, errNoServer)
 	}
@@ -97,7 +101,7 @@
 // logRetry records that another attempt follows a.
 func (c *call) logRetry(a *attempt) {
 	c.ingress.Log.Debug().Err(a.err).Str("event", "call-retried").Str("vm", a.endpoint.VM).
-		Str("service", c.match.Target.Name).Str("route", c.match.Route.Name).
+		Str("service", c.target.Name).Str("route", c.match.Route.Name).
 		Stringer("verdict", a.verdict()).Msg("another attempt follows")
 }
 
@@ -129,12 +133,25 @@
 	return left
 }
 
+// rank returns the order of a route under overload, 0 first.
+func rank(m *mesh.Match) uint32 {
+	switch {
+	case m.Route.Rank != nil:
+		return uint32(max(0, *m.Route.Rank))
+	case m.Owner.Priority == mesh.PriorityHigh:
+		return 0
+	case m.Owner.Priority == mesh.PriorityLow:
+		return 2
+	default:
+		return 1
+	}
+}
+
 // newCallMessage returns the message for the request of ctx. It refers to the
 // memory of ctx and is valid until the handler returns.
 func newCallMessage(ctx *fasthttp.RequestCtx, snap *mesh.Snapshot, m *mesh.Match, caller string) *peerpb.Call {
 	return &peerpb.Call{
 		Id:               rand.Uint64(),
-		Service:          m.Target.Name,
 		Route:            m.Route.Name,
 		Method:           string(ctx.Method()),
 		Uri:              string(ctx.RequestURI()),
@@ -146,6 +163,7 @@
 		Release:          &peerpb.Version{Sequence: snap.Version.Sequence, Digest: snap.Version.Digest[:]},
 		Idempotent:       m.Route.Idempotent,
 		Priority:         string(m.Owner.Priority),
+		Rank:             rank(m),
 		MaxResponseBytes: m.Resource.MaxResponseBytes,
 	}
 }
--- a/node/proxy/ingress/headers.go
+++ b/node/proxy/ingress/headers.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"strconv"
 	"strings"
+	"time"
 
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
@@ -22,6 +24,31 @@
 	return out
 }
 
+// dropOwnHeaders leaves out headers that the server's node sets.
+func (g *Ingress) dropOwnHeaders(m *peerpb.Call) {
+	if g.Headers.Caller == "" {
+		return
+	}
+	kept := m.Headers[:0]
+	for _, h := range m.Headers {
+		switch h.Name {
+		case g.Headers.Deadline, g.Headers.Target, g.Headers.Caller:
+		default:
+			kept = append(kept, h)
+		}
+	}
+	m.Headers = kept
+}
+
+// retryAfter formats a wait. Callers of deployments with their own headers take
+// fractions of a second; the standard has whole seconds only.
+func (g *Ingress) retryAfter(wait time.Duration) string {
+	if g.Headers.Deadline == "" {
+		return strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10)
+	}
+	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+}
+
 // listsHeader reports whether the value of a Connection header names the header.
 func listsHeader(connection, name string) bool {
 	if connection == "" {
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -7,12 +7,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/session"
@@ -43,16 +47,33 @@
 	Failed func()
 	Tracer *tracing.Tracer
 	Log    zerolog.Logger
+	// Headers names the headers that callers and servers use.
+	Headers wirenames.Headers
+	// Stopping reports whether callers are to take their next request elsewhere; nil if
+	// that is never so.
+	Stopping func() bool
+	// active counts the requests that have no answer yet.
+	active atomic.Int64
+	// splits counts the requests on split routes, to keep the shares even.
+	splits atomic.Uint64
 }
 
 // Handle serves one request.
 func (g *Ingress) Handle(ctx *fasthttp.RequestCtx) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
 	g.route(ctx)
+	if g.Stopping != nil && g.Stopping() {
+		ctx.SetConnectionClose()
+	}
 	if g.Failed != nil && ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError {
 		g.Failed()
 	}
 }
 
+// Active returns the number of requests that have no answer yet.
+func (g *Ingress) Active() int64 { return g.active.Load() }
+
 // route answers or forwards a request, which keeps the snapshot that it began with.
 func (g *Ingress) route(ctx *fasthttp.RequestCtx) {
 	snap := g.State.Snapshot()
@@ -82,14 +103,19 @@
 }
 
 func (g *Ingress) forward(ctx *fasthttp.RequestCtx, snap *mesh.Snapshot, m *mesh.Match) {
-	deadline := time.Now().Add(m.Route.Deadline.Duration())
+	now := time.Now()
+	target := g.target(m)
 	c := call{
-		ingress: g,
-		ctx:     ctx,
-		match:   m,
-		message: newCallMessage(ctx, snap, m, g.Caller),
-		retry:   retry.NewCall(&g.Router.Retry, m.Route, g.Router.Budget(m.Target.Name), deadline),
+		ingress:   g,
+		ctx:       ctx,
+		match:     m,
+		target:    target,
+		message:   newCallMessage(ctx, snap, m, g.Caller),
+		objective: now.Add(m.Route.Objective.Duration()),
+		retry:     retry.NewCall(&g.Router.Retry, m.Route, g.Router.Budget(target.Name), now.Add(g.timeLeft(ctx, m))),
 	}
+	c.message.Service = target.Name
+	g.dropOwnHeaders(c.message)
 	span := g.Tracer.Start(tracing.HopIngress, c.message.GetTraceparent())
 	span.Annotate("auburnladder.route", m.Route.Name)
 	c.traceparent = span.Traceparent()
@@ -108,7 +134,7 @@
 func (g *Ingress) fail(ctx *fasthttp.RequestCtx, c *call, err error) {
 	v := verdict.Of(err)
 	countFailure(v)
-	g.Log.Debug().Err(err).Str("event", "call-failed").Str("service", c.match.Target.Name).
+	g.Log.Debug().Err(err).Str("event", "call-failed").Str("service", c.target.Name).
 		Str("route", c.match.Route.Name).Stringer("verdict", v).Msg("call ended without an answer")
 	if errors.Is(err, errCallerGone) {
 		metrics.callerGone.Add(1)
@@ -116,9 +142,35 @@
 	}
 	answer(ctx, failureStatus(v, err), v, err.Error())
 	if c.wait > 0 {
-		seconds := int((c.wait + time.Second - 1) / time.Second)
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, fmt.Sprint(seconds))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, g.retryAfter(c.wait))
+	}
+}
+
+// goldenRatio spreads successive positions evenly over 0 to 1.
+const goldenRatio = 0.6180339887498949
+
+// target returns the service that runs the request. On a split route successive
+// requests fill the parts evenly.
+func (g *Ingress) target(m *mesh.Match) *mesh.Service {
+	if len(m.Parts) == 0 {
+		return m.Target
+	}
+	_, at := math.Modf(float64(g.splits.Add(1)) * goldenRatio)
+	return m.Pick(at)
+}
+
+// timeLeft returns how long the request may take: what the route allows, or less if the
+// caller waits less.
+func (g *Ingress) timeLeft(ctx *fasthttp.RequestCtx, m *mesh.Match) time.Duration {
+	limit := m.Route.Deadline.Duration()
+	if g.Headers.Deadline == "" {
+		return limit
+	}
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(g.Headers.Deadline)), 10, 32)
+	if err != nil {
+		return limit
 	}
+	return min(limit, time.Duration(ms)*time.Millisecond)
 }
 
 func countFailure(v verdict.Verdict) {
--- a/node/proxy/ingress/router.go
+++ b/node/proxy/ingress/router.go
@@ -28,13 +28,18 @@
 // Router holds what all listeners of a node share to choose servers and to bound
 // retries. Its methods but Run are safe for concurrent use.
 type Router struct {
-	Picker    routing.Picker
-	Retry     retry.Config
-	Journal   Journal
+	Picker  routing.Picker
+	Retry   retry.Config
+	Journal Journal
+	// Fleet returns the retry budget of each of a number of nodes, which share one; nil
+	// if nodes have budgets of their own.
+	Fleet     func(nodes int) retry.BudgetConfig
 	state     *state.State
 	directory *routing.Directory
 	log       zerolog.Logger
-	budgets   sync.Map // service name to *retry.Budget
+	// budget is this node's part of a shared retry budget, nil before the first list.
+	budget  atomic.Pointer[retry.BudgetConfig]
+	budgets sync.Map // service name to *retry.Budget
 
 	// applied is what the tables were built from; refresh orders updates and sweeps.
 	applied atomic.Pointer[applied]
@@ -102,6 +107,19 @@
 	}
 	r.directory.Update(now, next.snapshot, servers(next.fleet))
 	r.applied.Store(next)
+	r.shareBudget(len(next.fleet.VMs))
+}
+
+// shareBudget divides the retry budget between the nodes of the list.
+func (r *Router) shareBudget(nodes int) {
+	if r.Fleet == nil || nodes == 0 {
+		return
+	}
+	cfg := r.Fleet(nodes)
+	r.budget.Store(&cfg)
+	for _, b := range r.budgets.Range {
+		b.(*retry.Budget).SetConfig(cfg)
+	}
 }
 
 // Budget returns the retry budget of a service.
@@ -109,7 +127,11 @@
 	if b, ok := r.budgets.Load(service); ok {
 		return b.(*retry.Budget)
 	}
-	b, _ := r.budgets.LoadOrStore(service, retry.NewBudget(time.Now(), r.Retry.Budget))
+	cfg := r.Retry.Budget
+	if shared := r.budget.Load(); shared != nil {
+		cfg = *shared
+	}
+	b, _ := r.budgets.LoadOrStore(service, retry.NewBudget(time.Now(), cfg))
 	return b.(*retry.Budget)
 }
 
@@ -175,6 +197,9 @@
 			Region:  vm.Region,
 			Peer:    vm.Peer,
 			Leaving: vm.Leaving,
+
+			Instance: vm.Instance,
+			Slots:    vm.Slots,
 		}
 	}
 	return list
--- a/node/query/query.go
+++ b/node/query/query.go
@@ -30,6 +30,8 @@
 	Key *release.SigningKey
 	// Tables holds what the node learned about servers from calls; nil if nothing.
 	Tables Tables
+	// Stopping reports whether the node is about to stop; nil if that is never so.
+	Stopping func() bool
 	// Extend adds what other parts of the node know to a status; nil if nothing.
 	Extend func(*statusapi.Status)
 }
@@ -68,6 +70,9 @@
 // Ready reports whether the node serves callers: it holds a release, does not leave,
 // and knows a server for at least one service.
 func (r *Reader) Ready() bool {
+	if r.Stopping != nil && r.Stopping() {
+		return false
+	}
 	return r.drain() == statusapi.DrainServing && r.knowsServers()
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -9,10 +9,11 @@
 	"time"
 
 	"auburnladder.example/core/drain"
-	"auburnladder.example/core/mesh"
 	"auburnladder.example/node/admin"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/proxy/ingress"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
 )
@@ -34,9 +35,8 @@
 	defer cancel(nil)
 	n.peers = peers.New(ctx, n.peersConfig(), n.hello, n, n.log)
 	var tasks conc.WaitGroup
-	err := n.startProber()
+	err := n.startSource(ctx, &tasks)
 	if err == nil {
-		tasks.Go(func() { n.prober.Run(ctx) })
 		err = n.listen(ctx, &tasks, cancel)
 	}
 	if err == nil {
@@ -56,23 +56,62 @@
 
 // startTasks starts what runs beside the listeners.
 func (n *Node) startTasks(ctx context.Context, tasks *conc.WaitGroup, cancel context.CancelCauseFunc) {
-	tasks.Go(func() { n.driver.Run(ctx, n.peers) })
 	tasks.Go(func() { n.router.Run(ctx) })
 	tasks.Go(func() { n.egress.Run(ctx) })
 	if n.tls != nil {
 		tasks.Go(func() { n.tls.Run(ctx, n.cfg.PeerTLS.Reload.Std()) })
 	}
 	tasks.Go(func() {
-		if n.drainer.Run(ctx) {
-			n.stopCallers()
+		if n.awaitStop(ctx) {
 			cancel(nil)
 		}
 	})
 }
 
+// startSource starts what keeps the release, the VM list and the members up to date.
+func (n *Node) startSource(ctx context.Context, tasks *conc.WaitGroup) error {
+	if n.store != nil {
+		n.newFollower()
+		tasks.Go(func() { n.follower.Run(ctx) })
+		return nil
+	}
+	if err := n.startProber(); err != nil {
+		return err
+	}
+	tasks.Go(func() { n.prober.Run(ctx) })
+	tasks.Go(func() { n.driver.Run(ctx, n.peers) })
+	return nil
+}
+
+// serveSource answers what a peer asks about releases and VM lists. It reports whether
+// the request was about them.
+func (n *Node) serveSource(from peers.Peer, req *peerpb.Request, st *session.Stream) bool {
+	if n.follower != nil {
+		return n.follower.ServeStream(req, st)
+	}
+	return n.driver.ServeStream(from.VM, req, st)
+}
+
+// awaitStop waits until requests have ended after Drain. It returns false if ctx ended
+// first.
+func (n *Node) awaitStop(ctx context.Context) bool {
+	if n.store != nil {
+		return n.stopper.run(ctx)
+	}
+	if !n.drainer.Run(ctx) {
+		return false
+	}
+	n.stopCallers()
+	return true
+}
+
 // Drain takes the server out of service for the given reason; Run returns afterwards.
 // It may be called from any goroutine while Run runs, also repeatedly.
 func (n *Node) Drain(ctx context.Context, r drain.Reason) {
+	if n.store != nil {
+		n.stopper.signal()
+		return
+	}
 	n.drainer.Signal(ctx, r)
 }
 
@@ -111,7 +150,7 @@
 	all := []listener{
 		{name: "peer", addr: addrs.Peer, serve: n.peers.Serve},
 		{name: "admin", addr: addrs.Admin, serve: n.serveAdmin()},
-		{name: "caller", addr: addrs.Caller, serve: n.serveCallers(mesh.PublicCaller, nil)},
+		{name: "caller", addr: addrs.Caller, serve: n.serveCallers(n.callerIdentity(), nil)},
 	}
 	if addrs.Local.IsValid() {
 		all = append(all, listener{name: "local", addr: addrs.Local, serve: n.serveCallers(n.cfg.VM.Service, n.egress.DependencyFailed)})
@@ -120,7 +159,7 @@
 }
 
 func (n *Node) serveAdmin() func(net.Listener) error {
-	app := admin.New(n.reader)
+	app := admin.New(n.reader, n.cfg.Listen.ReadyPath)
 	n.shutdown = append(n.shutdown, func() { _ = app.Shutdown() })
 	return func(l net.Listener) error {
 		return app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
@@ -135,13 +174,19 @@
 		Sessions: n.peers,
 		Router:   n.router,
 		Caller:   caller,
-		Paused:   n.driver.Paused,
 		Failed:   failed,
 		Tracer:   n.tracer,
 		Log:      n.log,
 	}
+	if n.store != nil {
+		in.Headers = n.store.Headers
+		in.Stopping = n.stopper.begun.Load
+	} else {
+		in.Paused = n.driver.Paused
+	}
 	srv := in.NewServer()
 	n.callers = append(n.callers, srv)
+	n.ingresses = append(n.ingresses, in)
 	return srv.Serve
 }
 
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -31,8 +31,10 @@
 	Listen   Listen   `yaml:"listen" check:"required"`
 	Server   Server   `yaml:"server" check:"required"`
 	Platform Platform `yaml:"platform" check:"required"`
+	// Approval says what makes a release count as approved.
+	Approval Approval `yaml:"approval"`
 	// ApprovalKeys are the trusted public keys, each "key-id:base64".
-	ApprovalKeys []string `yaml:"approval_keys" check:"required"`
+	ApprovalKeys []string `yaml:"approval_keys"`
 	// Deployment is the only deployment whose releases this node takes; "" takes any
 	// that a trusted key approved.
 	Deployment string `yaml:"deployment"`
@@ -44,6 +46,8 @@
 	// Preset weighs convergence time against control bytes.
 	Preset  Preset  `yaml:"preset"`
 	Routing Routing `yaml:"routing"`
+	Retry   Retry   `yaml:"retry"`
+	Stop    Stop    `yaml:"stop"`
 	Log     Log     `yaml:"log"`
 	Trace   Trace   `yaml:"trace"`
 }
@@ -66,6 +70,10 @@
 	Local netip.AddrPort `yaml:"local"`
 	// Admin is for operators, HTTP, read only.
 	Admin netip.AddrPort `yaml:"admin" check:"required"`
+	// Metrics is for the scraper of counters and histograms, HTTP; zero for none.
+	Metrics netip.AddrPort `yaml:"metrics"`
+	// ReadyPath is a further path at Admin that tells whether the node serves callers.
+	ReadyPath string `yaml:"ready_path"`
 }
 
 // Server is the backend server beside the node.
@@ -97,8 +105,79 @@
 	Reload yamlcheck.Duration `yaml:"reload"`
 }
 
+// SourceKind names what publishes releases and the VM list.
+type SourceKind string
+
+const (
+	// SourceService is the project's own configuration service: approved manifests,
+	// chunks and a VM list, read by some nodes and spread between all.
+	SourceService SourceKind = "service"
+	// SourceStore is a key-value store with one revision counter, read by every node.
+	SourceStore SourceKind = "store"
+)
+
+// Approval says what makes a release count as approved.
+type Approval string
+
+const (
+	// ApprovalKeys asks for a signature by one of the approval keys.
+	ApprovalKeys Approval = "keys"
+	// ApprovalSource takes what the source publishes as approved.
+	ApprovalSource Approval = "source"
+)
+
+// Retry is the part of the deployment's retry budget that concerns every node.
+type Retry struct {
+	// Ratio is the share of the calls to a service that all nodes together may repeat.
+	Ratio float64 `yaml:"ratio"`
+	// Slack is the number of repeats for each service within Window beyond that.
+	Slack int `yaml:"slack"`
+	// Window is the time over which repeats are counted.
+	Window yamlcheck.Duration `yaml:"window"`
+}
+
+// Validate checks the budget.
+func (r *Retry) Validate() []yamlcheck.Problem {
+	var problems []yamlcheck.Problem
+	if r.Ratio < 0 || r.Ratio > 1 {
+		problems = append(problems, yamlcheck.Problem{Field: "ratio", Found: fmt.Sprint(r.Ratio), Expected: "a number from 0 to 1"})
+	}
+	if r.Slack < 0 {
+		problems = append(problems, yamlcheck.Problem{Field: "slack", Found: fmt.Sprint(r.Slack), Expected: "0 or more"})
+	}
+	if r.Window <= 0 {
+		problems = append(problems, yamlcheck.Problem{Field: "window", Found: r.Window.String(), Expected: "more than 0s"})
+	}
+	return problems
+}
+
+// Stop bounds the stop of the node after SIGTERM.
+type Stop struct {
+	// Grace is how long after SIGTERM the process is killed.
+	Grace yamlcheck.Duration `yaml:"grace"`
+	// Unready is how long the node goes on taking new requests, while it tells that it is
+	// not ready. Longer than callers take to notice costs time from Grace.
+	Unready yamlcheck.Duration `yaml:"unready"`
+}
+
+// Validate checks that the times leave room for requests in flight.
+func (s *Stop) Validate() []yamlcheck.Problem {
+	if s.Unready < 0 || s.Unready >= s.Grace {
+		return []yamlcheck.Problem{{Field: "unready", Found: s.Unready.String(), Expected: "0s or more, below grace"}}
+	}
+	return nil
+}
+
 // Platform is the platform's configuration service.
 type Platform struct {
+	// Kind says what is spoken with the service.
+	Kind SourceKind `yaml:"kind"`
+	// Seeds are "ip:port" of the peer listeners of nodes known before the first list.
+	Seeds []netip.AddrPort `yaml:"seeds"`
+	// Regions maps failure domains to their regions, for lists that name domains only.
+	Regions map[string]string `yaml:"regions"`
+	// ReadsPerSecond is the rate of calls that the service takes from all nodes.
+	ReadsPerSecond float64 `yaml:"reads_per_second"`
 	// Addresses are "ip:port" of the service's endpoints.
 	Addresses []netip.AddrPort `yaml:"addresses" check:"required"`
 	// Timeout bounds one read. Shorter turns to the next endpoint sooner.
@@ -177,6 +256,12 @@
 	defaultFleetSize       = 300
 	defaultSampleRatio     = 0.01
 	defaultPeerTLSReload   = 10 * time.Second
+	defaultReadsPerSecond  = 2000
+	defaultRetryRatio      = 0.1
+	defaultRetrySlack      = 50
+	defaultRetryWindow     = 10 * time.Second
+	defaultStopGrace       = 30 * time.Second
+	defaultStopUnready     = 2200 * time.Millisecond
 )
 
 // Default returns the settings that a file starts from.
@@ -186,12 +271,18 @@
 			Timeout:   yamlcheck.Duration(defaultPlatformTimeout),
 			Wait:      yamlcheck.Duration(defaultPlatformWait),
 			FleetSize: defaultFleetSize,
+
+			Kind:           SourceService,
+			ReadsPerSecond: defaultReadsPerSecond,
 		},
-		PeerTLS: PeerTLS{Reload: yamlcheck.Duration(defaultPeerTLSReload)},
-		Preset:  PresetConvergence,
-		Routing: Routing{Policy: PolicyP2C},
-		Log:     Log{Level: "info", Format: LogJSON},
-		Trace:   Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
+		Approval: ApprovalKeys,
+		Retry:    Retry{Ratio: defaultRetryRatio, Slack: defaultRetrySlack, Window: yamlcheck.Duration(defaultRetryWindow)},
+		Stop:     Stop{Grace: yamlcheck.Duration(defaultStopGrace), Unready: yamlcheck.Duration(defaultStopUnready)},
+		PeerTLS:  PeerTLS{Reload: yamlcheck.Duration(defaultPeerTLSReload)},
+		Preset:   PresetConvergence,
+		Routing:  Routing{Policy: PolicyP2C},
+		Log:      Log{Level: "info", Format: LogJSON},
+		Trace:    Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
 	}
 }
 
@@ -220,6 +311,7 @@
 	if s.Preset != PresetConvergence && s.Preset != PresetBytes {
 		problems = append(problems, yamlcheck.Problem{Field: "preset", Found: string(s.Preset), Expected: "convergence or bytes"})
 	}
+	problems = append(problems, s.validateApproval()...)
 	for i, k := range s.ApprovalKeys {
 		if _, _, err := release.ParsePublicKey(k); err != nil {
 			problems = append(problems, yamlcheck.Problem{
@@ -231,6 +323,21 @@
 	return append(problems, s.validateNodeKey()...)
 }
 
+// validateApproval checks that the kind of source can approve as asked.
+func (s *Settings) validateApproval() []yamlcheck.Problem {
+	switch {
+	case s.Approval != ApprovalKeys && s.Approval != ApprovalSource:
+		return []yamlcheck.Problem{{Field: "approval", Found: string(s.Approval), Expected: "keys or source"}}
+	case s.Approval == ApprovalKeys && len(s.ApprovalKeys) == 0:
+		return []yamlcheck.Problem{{Field: "approval_keys", Found: "nothing", Expected: "a list of key-id:base64"}}
+	case s.Approval == ApprovalSource && s.Platform.Kind != SourceStore:
+		return []yamlcheck.Problem{{Field: "approval", Related: "platform.kind", Found: "source", Expected: "keys, or platform.kind: store"}}
+	case s.Approval == ApprovalKeys && s.Platform.Kind == SourceStore:
+		return []yamlcheck.Problem{{Field: "approval", Related: "platform.kind", Found: "keys", Expected: "source, or platform.kind: service"}}
+	}
+	return nil
+}
+
 func (t *PeerTLS) problems() []yamlcheck.Problem {
 	var problems []yamlcheck.Problem
 	report := func(field, found, expected string) {
@@ -286,6 +393,12 @@
 	if p.Wait.Std() < time.Second {
 		problems = append(problems, yamlcheck.Problem{Field: "wait", Found: p.Wait.String(), Expected: "1s or more"})
 	}
+	if p.Kind != SourceService && p.Kind != SourceStore {
+		problems = append(problems, yamlcheck.Problem{Field: "kind", Found: string(p.Kind), Expected: "service or store"})
+	}
+	if p.ReadsPerSecond <= 0 {
+		problems = append(problems, yamlcheck.Problem{Field: "reads_per_second", Found: fmt.Sprint(p.ReadsPerSecond), Expected: "more than 0"})
+	}
 	if p.FleetSize < 1 {
 		problems = append(problems, yamlcheck.Problem{Field: "fleet_size", Found: fmt.Sprint(p.FleetSize), Expected: "1 or more"})
 	}
--- /dev/null
+++ b/node/store.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/retry"
+	"auburnladder.example/core/source"
+	"auburnladder.example/core/wirenames"
+	"auburnladder.example/node/follow"
+	"auburnladder.example/node/settings"
+	"auburnladder.example/wire/session"
+)
+
+// StoreAdapter is what a node needs to run with a key-value store as its source.
+type StoreAdapter struct {
+	Store   follow.Store
+	Decoder source.Decoder
+	// Headers names the headers that callers and servers of the deployment use.
+	Headers wirenames.Headers
+}
+
+// freeMoves is the number of servers whose nodes may refuse a call before it fails.
+const freeMoves = 4
+
+// useStore prepares the parts that differ with a key-value store.
+func (n *Node) useStore() {
+	n.egress.ByList = true
+	n.egress.Headers = n.store.Headers
+	n.router.Retry.FreeMoves = freeMoves
+	n.router.Fleet = fleetBudget(n.cfg.Retry)
+	n.stopper = newStopper(n)
+	n.reader.Stopping = n.stopper.begun.Load
+}
+
+// newFollower prepares what follows the store. The sessions to peers must exist.
+func (n *Node) newFollower() {
+	cfg := follow.DefaultConfig()
+	cfg.ReadsPerSecond = n.cfg.Platform.ReadsPerSecond
+	n.follower = follow.New(cfg, n.store.Store, n.store.Decoder, &peerFinder{node: n}, n.command, n.log)
+}
+
+// callerIdentity is the identity of those who reach the caller listener.
+func (n *Node) callerIdentity() string {
+	if n.store != nil {
+		return n.cfg.VM.Service
+	}
+	return mesh.PublicCaller
+}
+
+// peerFinder finds nodes that may hold a copy of the store. It implements follow.Peers.
+type peerFinder struct {
+	node *Node
+}
+
+// Get implements follow.Peers.
+func (p *peerFinder) Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error) {
+	return p.node.peers.Get(ctx, vm, addr)
+}
+
+// Candidates implements follow.Peers: the seeds and all VMs of the list but this one.
+func (p *peerFinder) Candidates() []netip.AddrPort {
+	self := p.node.cfg.VM.ID
+	known := make(map[netip.AddrPort]bool)
+	var all []netip.AddrPort
+	add := func(addr netip.AddrPort) {
+		if addr.Addr().String() != self && !known[addr] {
+			known[addr] = true
+			all = append(all, addr)
+		}
+	}
+	for _, seed := range p.node.cfg.Platform.Seeds {
+		add(seed)
+	}
+	for _, vm := range p.node.state.Fleet().VMs {
+		add(vm.Peer)
+	}
+	return all
+}
+
+var _ follow.Peers = (*peerFinder)(nil)
+
+// fleetBudget divides a deployment's retry budget between its nodes.
+func fleetBudget(r settings.Retry) func(nodes int) retry.BudgetConfig {
+	return func(nodes int) retry.BudgetConfig {
+		slack := budgetShare * float64(r.Slack) / float64(nodes)
+		return retry.BudgetConfig{
+			Ratio:     budgetShare * r.Ratio,
+			PerSecond: slack / 2 / r.Window.Std().Seconds(),
+			Burst:     max(1, int(slack/2)),
+		}
+	}
+}
+
+// budgetShare is the part of the deployment's retry budget that nodes plan to spend. The
+// rest is for calls that a repeated call makes once more.
+const budgetShare = 0.5
