Reload settings on SIGHUP and when the file changes; end the stop in time

At SIGTERM one node outlived the grace: it waited up to 10 s for callers and for an open watch. Ruled out: a crash (no panic in the logs).

Change: the node reads the file again on SIGHUP and once a second, refuses invalid settings, takes over seeds, budget, stop times and log level, and logs what only a start takes over. The stopper's deadline bounds the end; calls of the store are not awaited.

--- a/node/cmd/auburnladder-node/main.go
+++ b/node/cmd/auburnladder-node/main.go
@@ -66,10 +66,10 @@
 	if *format != "" {
 		cfg.Log.Format = settings.LogFormat(*format)
 	}
-	return serve(cfg, stderr)
+	return serve(*file, cfg, stderr)
 }
 
-func serve(cfg *settings.Settings, logs io.Writer) int {
+func serve(file string, cfg *settings.Settings, logs io.Writer) int {
 	log := newLogger(cfg, logs)
 	n, err := node.New(cfg, newStoreAdapter(cfg), log)
 	if err != nil {
@@ -78,6 +78,8 @@
 	}
 	stop := followSignals(n)
 	defer stop()
+	stopReload := followSettings(file, n, log)
+	defer stopReload()
 	if err := n.Run(context.Background()); err != nil {
 		log.Error().Err(err).Str("event", "stopped").Msg("node failed")
 		return exitFailed
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -110,12 +110,11 @@
 	complete := false
 	wait := f.cfg.RetryMin
 	for ctx.Err() == nil {
-		var err error
+		next := f.readAll
 		if complete {
-			err = f.watch()
-		} else {
-			err = f.readAll()
+			next = f.watch
 		}
+		err := unlessDone(ctx, next)
 		if errors.Is(err, source.ErrHistoryLost) {
 			f.log.Warn().Str("event", "history-lost").Uint64("revision", f.revision()).Msg("store dropped its history; reading all items")
 			complete = false
@@ -133,6 +132,19 @@
 	}
 }
 
+// unlessDone returns the result of call, or the error of ctx if that ends first. The
+// call then goes on until its own timeout.
+func unlessDone(ctx context.Context, call func() error) error {
+	result := make(chan error, 1)
+	go func() { result <- call() }()
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (f *Follower) revision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"expvar"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/release"
@@ -33,7 +34,9 @@
 
 // Node is one running node.
 type Node struct {
-	cfg     *settings.Settings
+	cfg *settings.Settings
+	// live is what Reload took over last; cfg is what the node started with.
+	live    atomic.Pointer[settings.Settings]
 	log     zerolog.Logger
 	state   *state.State
 	reader  *query.Reader
@@ -70,6 +73,7 @@
 	}
 	cmd := &command.Commander{State: st, Log: log, Journal: reader.Journal, Now: time.Now}
 	n := &Node{cfg: cfg, log: log, state: st, reader: reader, command: cmd, store: store}
+	n.live.Store(cfg)
 	if err = n.newDriver(); err != nil {
 		return nil, err
 	}
--- a/node/proxy/ingress/router.go
+++ b/node/proxy/ingress/router.go
@@ -28,15 +28,15 @@
 // Router holds what all listeners of a node share to choose servers and to bound
 // retries. Its methods but Run are safe for concurrent use.
 type Router struct {
-	Picker  routing.Picker
-	Retry   retry.Config
-	Journal Journal
-	// Fleet returns the retry budget of each of a number of nodes, which share one; nil
-	// if nodes have budgets of their own.
-	Fleet     func(nodes int) retry.BudgetConfig
+	Picker    routing.Picker
+	Retry     retry.Config
+	Journal   Journal
 	state     *state.State
 	directory *routing.Directory
 	log       zerolog.Logger
+	// fleetBudget returns the retry budget of each of a number of nodes, which share one;
+	// nil if nodes have budgets of their own.
+	fleetBudget atomic.Pointer[FleetBudget]
 	// budget is this node's part of a shared retry budget, nil before the first list.
 	budget  atomic.Pointer[retry.BudgetConfig]
 	budgets sync.Map // service name to *retry.Budget
@@ -110,12 +110,22 @@
 	r.shareBudget(len(next.fleet.VMs))
 }
 
+// FleetBudget returns the part of each of a number of nodes in a shared retry budget.
+type FleetBudget func(nodes int) retry.BudgetConfig
+
+// SetFleetBudget has the nodes of the VM list share one retry budget.
+func (r *Router) SetFleetBudget(share FleetBudget) {
+	r.fleetBudget.Store(&share)
+	r.shareBudget(len(r.state.Fleet().VMs))
+}
+
 // shareBudget divides the retry budget between the nodes of the list.
 func (r *Router) shareBudget(nodes int) {
-	if r.Fleet == nil || nodes == 0 {
+	share := r.fleetBudget.Load()
+	if share == nil || nodes == 0 {
 		return
 	}
-	cfg := r.Fleet(nodes)
+	cfg := (*share)(nodes)
 	r.budget.Store(&cfg)
 	for _, b := range r.budgets.Range {
 		b.(*retry.Budget).SetConfig(cfg)
--- /dev/null
+++ b/node/reload.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"fmt"
+	"reflect"
+
+	"auburnladder.example/core/retry"
+	"auburnladder.example/node/settings"
+	"github.com/rs/zerolog"
+)
+
+// Reload takes over settings that changed while the node runs. Fields that name the
+// node's place and addresses stay as they were at the start; a change of them is logged.
+// It may be called from any goroutine.
+func (n *Node) Reload(next *settings.Settings) {
+	old := n.live.Swap(next)
+	if reflect.DeepEqual(old, next) {
+		return
+	}
+	level, err := zerolog.ParseLevel(next.Log.Level)
+	if err == nil {
+		zerolog.SetGlobalLevel(level)
+	}
+	if n.store != nil {
+		n.router.SetFleetBudget(fleetBudget(next.Retry))
+	}
+	event := n.log.Info().Str("event", "settings-changed")
+	if fixed := changedAtStartOnly(old, next); len(fixed) > 0 {
+		event = n.log.Warn().Str("event", "settings-changed").Strs("only_at_start", fixed)
+	}
+	event.Msg("settings file changed")
+}
+
+// changedAtStartOnly names the changed fields that a running node doesn't take over.
+func changedAtStartOnly(old, next *settings.Settings) []string {
+	fields := []struct {
+		name     string
+		old, new any
+	}{
+		{"vm", old.VM, next.VM},
+		{"listen", old.Listen, next.Listen},
+		{"server", old.Server, next.Server},
+		{"platform.addresses", old.Platform.Addresses, next.Platform.Addresses},
+		{"platform.kind", old.Platform.Kind, next.Platform.Kind},
+		{"approval_keys", old.ApprovalKeys, next.ApprovalKeys},
+		{"peer_tls", old.PeerTLS, next.PeerTLS},
+		{"trace", old.Trace, next.Trace},
+	}
+	var changed []string
+	for _, f := range fields {
+		if !reflect.DeepEqual(f.old, f.new) {
+			changed = append(changed, fmt.Sprintf("%s: %v -> %v", f.name, f.old, f.new))
+		}
+	}
+	return changed
+}
+
+// fleetBudget divides a deployment's retry budget between its nodes.
+func fleetBudget(r settings.Retry) func(nodes int) retry.BudgetConfig {
+	return func(nodes int) retry.BudgetConfig {
+		slack := budgetShare * float64(r.Slack) / float64(nodes)
+		return retry.BudgetConfig{
+			Ratio:     budgetShare * r.Ratio,
+			PerSecond: slack / 2 / r.Window.Std().Seconds(),
+			Burst:     max(1, int(slack/2)),
+		}
+	}
+}
+
+// budgetShare is the part of the deployment's retry budget that nodes plan to spend. The
+// rest is for calls that a repeated call makes once more.
+const budgetShare = 0.5
--- a/node/run.go
+++ b/node/run.go
@@ -18,8 +18,12 @@
 	"github.com/sourcegraph/conc"
 )
 
-// callersTimeout bounds how long requests of callers may take to end at a stop.
-const callersTimeout = 10 * time.Second
+const (
+	// callersTimeout bounds how long requests of callers may take to end at a stop.
+	callersTimeout = 10 * time.Second
+	// lastWordsTimeout is what is left for them after the stopper has waited.
+	lastWordsTimeout = 100 * time.Millisecond
+)
 
 // listener is one address that the node serves.
 type listener struct {
@@ -117,7 +121,11 @@
 
 // stopCallers lets the requests of callers end and closes their connections.
 func (n *Node) stopCallers() {
-	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	timeout := callersTimeout
+	if n.store != nil {
+		timeout = lastWordsTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, srv := range n.callers {
 		if err := srv.ShutdownWithContext(ctx); err != nil {
--- a/node/stopper.go
+++ b/node/stopper.go
@@ -44,8 +44,8 @@
 	case <-s.signed:
 	}
 	n := s.node
-	end := time.Now().Add(n.cfg.Stop.Grace.Std() - stopMargin)
-	if !pause(ctx, n.cfg.Stop.Unready.Std()) {
+	end := time.Now().Add(n.live.Load().Stop.Grace.Std() - stopMargin)
+	if !pause(ctx, n.live.Load().Stop.Unready.Std()) {
 		return false
 	}
 	n.command.SetLeaving(true, "stop signal")
--- a/node/store.go
+++ b/node/store.go
@@ -5,11 +5,9 @@
 	"net/netip"
 
 	"auburnladder.example/core/mesh"
-	"auburnladder.example/core/retry"
 	"auburnladder.example/core/source"
 	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/follow"
-	"auburnladder.example/node/settings"
 	"auburnladder.example/wire/session"
 )
 
@@ -29,7 +27,7 @@
 	n.egress.ByList = true
 	n.egress.Headers = n.store.Headers
 	n.router.Retry.FreeMoves = freeMoves
-	n.router.Fleet = fleetBudget(n.cfg.Retry)
+	n.router.SetFleetBudget(fleetBudget(n.cfg.Retry))
 	n.stopper = newStopper(n)
 	n.reader.Stopping = n.stopper.begun.Load
 }
@@ -70,7 +68,7 @@
 			all = append(all, addr)
 		}
 	}
-	for _, seed := range p.node.cfg.Platform.Seeds {
+	for _, seed := range p.node.live.Load().Platform.Seeds {
 		add(seed)
 	}
 	for _, vm := range p.node.state.Fleet().VMs {
@@ -80,19 +78,3 @@
 }
 
 var _ follow.Peers = (*peerFinder)(nil)
-
-// fleetBudget divides a deployment's retry budget between its nodes.
-func fleetBudget(r settings.Retry) func(nodes int) retry.BudgetConfig {
-	return func(nodes int) retry.BudgetConfig {
-		slack := budgetShare * float64(r.Slack) / float64(nodes)
-		return retry.BudgetConfig{
-			Ratio:     budgetShare * r.Ratio,
-			PerSecond: slack / 2 / r.Window.Std().Seconds(),
-			Burst:     max(1, int(slack/2)),
-		}
-	}
-}
-
-// budgetShare is the part of the deployment's retry budget that nodes plan to spend. The
-// rest is for calls that a repeated call makes once more.
-const budgetShare = 0.5
