Order waiting calls by rank and work; end a stop without late requests

Change: peers are refused after 1.1 s, callers after 2.8 s with not-run. Change: with a VM list that names servers, waiting calls go by rank, then work, then latest start; a call is refused at once when it can't meet its objective. Cause 3: idempotent attempts ended after half of their time even while they waited for a slot, so a request that no server had got ended in 504. Ruled out: fewer nodes (all were up), retries (budget untouched).

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -55,10 +55,26 @@
 	Route string
 	// Priority weighs the caller's share of the queue.
 	Priority mesh.Priority
+	// Rank orders requests under OrderUrgency, 0 first.
+	Rank uint32
+	// Objective is when an answer ceases to be worth most; zero if none is set.
+	Objective time.Time
 	// Deadline is when the caller stops waiting for the answer.
 	Deadline time.Time
 }
 
+// Order says which waiting request is served next.
+type Order uint8
+
+const (
+	// OrderFair divides the slots between callers by the weight of their priority.
+	OrderFair Order = iota
+	// OrderUrgency serves by rank, and within a rank the request first that must start
+	// first to meet its objective. It answers overload by many callers of one tenant,
+	// whose short internal calls decide over long requests that have begun.
+	OrderUrgency
+)
+
 // Outcome is what became of a request.
 type Outcome uint8
 
--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -22,6 +22,8 @@
 	// over short bursts and leaves refused requests too late to be tried elsewhere.
 	// Unit: 0 to 1.
 	WaitShare float64
+	// Order says which waiting request is served next.
+	Order Order
 	// SlowStart is how long a cold server takes to reach Slots; 0 for at once.
 	SlowStart time.Duration
 	// SlowStartShare is the share of Slots that a cold server starts with. A small
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -18,7 +18,7 @@
 	adapt adapter
 
 	mu         sync.Mutex
-	queue      *fairQueue
+	queue      waitQueue
 	queueLimit int
 }
 
@@ -27,7 +27,7 @@
 	l := &Limiter{
 		cfg:   cfg,
 		times: newServiceTimes(cfg, now),
-		queue: newFairQueue(),
+		queue: newWaitQueue(cfg.Order),
 		// SetServer changes it later.
 		queueLimit: cfg.QueueLimit,
 	}
@@ -42,8 +42,15 @@
 	giveUp   time.Time
 	done     chan struct{}
 	decision Decision
-	flow     *flow
-	index    int
+	// startBy is the latest start that meets the objective.
+	startBy time.Time
+	// work is the order of magnitude of the service time.
+	work int
+	// flow is set by fairQueue.
+	flow *flow
+	// index and late are set by the queue's heaps.
+	index int
+	late  bool
 }
 
 // GiveUp returns when to call Abandon if no decision was made by then.
@@ -89,17 +96,27 @@
 			// A slot may have come free since s was read; then the swap fails.
 			s = l.load()
 			if !s.closed() && !s.free() && l.swap(s, s.addWaiting(1)) {
-				return Decision{Outcome: Queued, Waiter: l.queue.push(req, l.giveUp(now, req))}
+				return Decision{Outcome: Queued, Waiter: l.queue.push(l.newWaiter(now, req))}
 			}
 		}
 	}
 }
 
+func (l *Limiter) newWaiter(now time.Time, req Request) *Waiter {
+	w := &Waiter{req: req, giveUp: l.giveUp(now, req), done: make(chan struct{}), work: l.times.workClass(req.Route)}
+	w.startBy = req.Deadline
+	if !req.Objective.IsZero() {
+		w.startBy = req.Objective
+	}
+	w.startBy = w.startBy.Add(-l.times.estimate(req.Route))
+	return w
+}
+
 // makeRoom reports whether req may join the queue, at the cost of a waiter of the
 // caller that takes the largest share if the queue is full.
 func (l *Limiter) makeRoom(now time.Time, s state, req Request) bool {
 	start := now.Add(l.expectedWait(s, req))
-	if start.After(l.giveUp(now, req)) || start.Add(l.times.estimate(req.Route)).After(req.Deadline) {
+	if start.After(l.giveUp(now, req)) || start.Add(l.times.estimate(req.Route)).After(l.usefulUntil(now, req)) {
 		return false
 	}
 	if s.waiting() < l.queueLimit {
@@ -114,17 +131,27 @@
 	return true
 }
 
+// usefulUntil returns when an answer must be there for req to be worth its wait: by the
+// objective while that can be met, else by the deadline.
+func (l *Limiter) usefulUntil(now time.Time, req Request) time.Time {
+	if l.cfg.Order == OrderFair || now.Add(l.times.estimate(req.Route)).After(req.Objective) {
+		return req.Deadline
+	}
+	return req.Objective
+}
+
 // giveUp returns until when req may wait.
 func (l *Limiter) giveUp(now time.Time, req Request) time.Time {
+	if l.cfg.Order == OrderUrgency {
+		return req.Deadline.Add(-l.times.estimate(req.Route))
+	}
 	remaining := req.Deadline.Sub(now)
 	return now.Add(time.Duration(float64(remaining) * l.cfg.WaitShare))
 }
 
 // expectedWait estimates how long req would wait in the queue.
 func (l *Limiter) expectedWait(s state, req Request) time.Duration {
-	ahead := l.queue.ahead(req)
-	perSlot := l.times.typical() / time.Duration(max(s.limit(), 1))
-	return time.Duration(ahead * float64(perSlot))
+	return l.queue.workAhead(req, l.times) / time.Duration(max(s.limit(), 1))
 }
 
 // Release ends the work in a slot and gives the slot to the next waiter.
@@ -186,7 +213,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.update(func(s state) state { return s.withClosed(true) })
-	for w := l.queue.pop(nil); w != nil; w = l.queue.pop(nil) {
+	for w := l.queue.pop(time.Time{}, nil); w != nil; w = l.queue.pop(time.Time{}, nil) {
 		l.update(func(s state) state { return s.addWaiting(-1) })
 		w.finish(l.refuseNew(ReasonLeaving))
 	}
@@ -247,7 +274,7 @@
 		if s.closed() || s.waiting() == 0 || s.inFlight() >= s.limit() {
 			return
 		}
-		w := l.queue.pop(l.times.cost)
+		w := l.queue.pop(now, l.times)
 		if reason := l.lateWaiter(now, w); reason != ReasonNone {
 			l.update(func(s state) state { return s.addWaiting(-1) })
 			w.finish(l.refuseNew(reason))
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -11,6 +11,26 @@
 // maxIdleFlows bounds the flows that are remembered while they have no waiter.
 const maxIdleFlows = 256
 
+// waitQueue orders the waiting requests. It is not safe for concurrent use.
+type waitQueue interface {
+	push(w *Waiter) *Waiter
+	// pop takes the next waiter, or returns nil. times may be nil when all are taken.
+	pop(now time.Time, times *serviceTimes) *Waiter
+	remove(w *Waiter)
+	// evictFor removes and returns the waiter that req displaces from a full queue, or
+	// returns nil if req itself must stay out.
+	evictFor(req Request) *Waiter
+	// workAhead estimates the service time of the waiters served before req.
+	workAhead(req Request, times *serviceTimes) time.Duration
+}
+
+func newWaitQueue(o Order) waitQueue {
+	if o == OrderUrgency {
+		return &urgencyQueue{}
+	}
+	return newFairQueue()
+}
+
 // flowKey identifies the waiters that share one part of the queue.
 type flowKey struct {
 	caller   string
@@ -42,13 +62,13 @@
 	return &fairQueue{flows: make(map[flowKey]*flow)}
 }
 
-func (q *fairQueue) push(req Request, giveUp time.Time) *Waiter {
-	f := q.flow(req)
+func (q *fairQueue) push(w *Waiter) *Waiter {
+	f := q.flow(w.req)
 	if len(f.waiters) == 0 {
 		f.start = max(f.start, q.virtual)
 		q.active = append(q.active, f)
 	}
-	w := &Waiter{req: req, giveUp: giveUp, flow: f, done: make(chan struct{})}
+	w.flow = f
 	heap.Push(&f.waiters, w)
 	return w
 }
@@ -85,16 +105,17 @@
 	}
 }
 
-// pop takes the next waiter and charges its flow with cost, or returns nil.
-func (q *fairQueue) pop(cost func(route string) float64) *Waiter {
+// pop takes the next waiter and charges its flow with the service time of its route, or
+// returns nil. Without times nothing is charged.
+func (q *fairQueue) pop(_ time.Time, times *serviceTimes) *Waiter {
 	if len(q.active) == 0 {
 		return nil
 	}
 	f := slices.MinFunc(q.active, func(a, b *flow) int { return compareStart(a, b) })
 	w := heap.Pop(&f.waiters).(*Waiter)
 	q.virtual = f.start
-	if cost != nil {
-		f.start += cost(w.req.Route) / f.weight
+	if times != nil {
+		f.start += times.cost(w.req.Route) / f.weight
 	}
 	q.deactivate(f)
 	return w
@@ -169,6 +190,11 @@
 	return f.load() > other.load()
 }
 
+// workAhead estimates the service time of the waiters served before req.
+func (q *fairQueue) workAhead(req Request, times *serviceTimes) time.Duration {
+	return time.Duration(q.ahead(req) * float64(times.typical()))
+}
+
 // ahead estimates how many waiters are served before req, were it pushed now.
 func (q *fairQueue) ahead(req Request) float64 {
 	total, weights := 0, weight(req.Priority)
--- /dev/null
+++ b/core/admission/urgency.go
@@ -0,0 +1,89 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// urgencyQueue serves waiters by rank. Within a rank, those that can still meet their
+// objective go first, shorter work before longer and then in the order in which they
+// must start; then the late ones by deadline. Queues are short, so a sorted list does.
+type urgencyQueue struct {
+	waiters []*Waiter
+}
+
+func (q *urgencyQueue) push(w *Waiter) *Waiter {
+	i, _ := slices.BinarySearchFunc(q.waiters, w, compareUrgency)
+	for i < len(q.waiters) && compareUrgency(q.waiters[i], w) == 0 {
+		i++
+	}
+	q.waiters = slices.Insert(q.waiters, i, w)
+	return w
+}
+
+func compareUrgency(a, b *Waiter) int {
+	switch {
+	case a.req.Rank != b.req.Rank:
+		return int(a.req.Rank) - int(b.req.Rank)
+	case a.late != b.late && a.late:
+		return 1
+	case a.late != b.late:
+		return -1
+	case a.late:
+		return a.req.Deadline.Compare(b.req.Deadline)
+	case a.work != b.work:
+		return cmp.Compare(a.work, b.work)
+	default:
+		return a.startBy.Compare(b.startBy)
+	}
+}
+
+// pop moves waiters that have become late behind the others of their rank first.
+func (q *urgencyQueue) pop(now time.Time, _ *serviceTimes) *Waiter {
+	for len(q.waiters) > 0 {
+		w := q.waiters[0]
+		q.waiters = slices.Delete(q.waiters, 0, 1)
+		if w.late || !w.startBy.Before(now) {
+			return w
+		}
+		w.late = true
+		q.push(w)
+	}
+	return nil
+}
+
+func (q *urgencyQueue) remove(w *Waiter) {
+	if i := slices.Index(q.waiters, w); i >= 0 {
+		q.waiters = slices.Delete(q.waiters, i, i+1)
+	}
+}
+
+// evictFor displaces the least urgent waiter if its rank is below that of req.
+func (q *urgencyQueue) evictFor(req Request) *Waiter {
+	if len(q.waiters) == 0 {
+		return nil
+	}
+	last := q.waiters[len(q.waiters)-1]
+	if last.req.Rank <= req.Rank && !last.late {
+		return nil
+	}
+	q.waiters = q.waiters[:len(q.waiters)-1]
+	return last
+}
+
+func (q *urgencyQueue) workAhead(req Request, times *serviceTimes) time.Duration {
+	at := req.Objective
+	if at.IsZero() {
+		at = req.Deadline
+	}
+	self := &Waiter{req: req, startBy: at.Add(-times.estimate(req.Route)), work: times.workClass(req.Route)}
+	work := time.Duration(times.cost(req.Route))
+	for _, w := range q.waiters {
+		if compareUrgency(self, w) < 0 {
+			break
+		}
+		work += time.Duration(times.cost(w.req.Route))
+	}
+	return work
+}
--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,7 @@
 	n.router = ingress.NewRouter(st, cfg.Routing.Policy, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
-	n.egress = egress.New(st, cfg.Server.Address, log)
+	n.egress = egress.New(st, cfg.Server.Address, n.egressConfig(), log)
 	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
 	if err != nil {
 		return nil, err
--- a/node/proxy/egress/config.go
+++ b/node/proxy/egress/config.go
@@ -8,8 +8,9 @@
 
 // Config bounds the work of an Egress.
 type Config struct {
-	Server ServerConfig
-	Pause  admission.PauseConfig
+	Admission admission.Config
+	Server    ServerConfig
+	Pause     admission.PauseConfig
 	// TickInterval is how often the process notes that it runs and old connections
 	// are closed. Shorter costs processor time.
 	TickInterval time.Duration
@@ -30,6 +31,7 @@
 // DefaultConfig returns the limits of a node.
 func DefaultConfig() Config {
 	return Config{
+		Admission:    admission.DefaultConfig(),
 		Server:       DefaultServerConfig(),
 		Pause:        admission.DefaultPauseConfig(),
 		TickInterval: 100 * time.Millisecond,
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -53,8 +53,8 @@
 
 // New returns an egress for the backend server at addr. Run must be running
 // while it serves.
-func New(st *state.State, addr netip.AddrPort, log zerolog.Logger) *Egress {
-	return newEgress(st, addr, log, DefaultConfig(), time.Now)
+func New(st *state.State, addr netip.AddrPort, cfg Config, log zerolog.Logger) *Egress {
+	return newEgress(st, addr, log, cfg, time.Now)
 }
 
 func newEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger, cfg Config, now func() time.Time) *Egress {
@@ -63,7 +63,7 @@
 		Log:     log,
 		Now:     now,
 		cfg:     cfg,
-		limiter: admission.New(admission.DefaultConfig(), now()),
+		limiter: admission.New(cfg.Admission, now()),
 		pool:    newServerPool(addr, cfg.Server, now),
 		seen:    newSeenCalls(cfg.SeenCalls),
 		pause:   admission.NewPauseDetector(cfg.Pause, now()),
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -98,11 +98,14 @@
 
 func (x *exchange) admit(ctx context.Context) error {
 	l := x.egress.limiter
-	d := l.Acquire(x.egress.Now(), admission.Request{
-		Caller:   x.call.GetCaller(),
-		Route:    x.call.GetRoute(),
-		Priority: x.priority,
-		Deadline: x.deadline,
+	now := x.egress.Now()
+	d := l.Acquire(now, admission.Request{
+		Caller:    x.call.GetCaller(),
+		Route:     x.call.GetRoute(),
+		Priority:  x.priority,
+		Rank:      x.call.GetRank(),
+		Objective: now.Add(time.Duration(x.call.GetObjectiveUs()) * time.Microsecond),
+		Deadline:  x.deadline,
 	})
 	if d.Outcome == admission.Queued {
 		d = x.wait(ctx, d.Waiter)
@@ -157,6 +160,11 @@
 
 // forward sends the request and passes the answer on.
 func (x *exchange) forward(ctx context.Context, req *fasthttp.Request, watcher *conc.WaitGroup, cancel context.CancelFunc) (verdict.Verdict, error) {
+	if us := x.call.GetAttemptUs(); us > 0 {
+		limited, end := context.WithTimeout(ctx, time.Duration(us)*time.Microsecond)
+		defer end()
+		ctx = limited
+	}
 	conn, err := x.send(ctx, req)
 	if err != nil {
 		return x.refuse(err)
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -52,6 +52,9 @@
 	// Stopping reports whether callers are to take their next request elsewhere; nil if
 	// that is never so.
 	Stopping func() bool
+	// Closed reports whether new requests are refused because the node is about to end;
+	// nil if that is never so.
+	Closed func() bool
 	// active counts the requests that have no answer yet.
 	active atomic.Int64
 	// splits counts the requests on split routes, to keep the shares even.
@@ -76,6 +79,10 @@
 
 // route answers or forwards a request, which keeps the snapshot that it began with.
 func (g *Ingress) route(ctx *fasthttp.RequestCtx) {
+	if g.Closed != nil && g.Closed() {
+		g.refuse(ctx, fasthttp.StatusServiceUnavailable, "this node is about to end")
+		return
+	}
 	snap := g.State.Snapshot()
 	if snap == nil || g.outdated() {
 		g.refuse(ctx, fasthttp.StatusServiceUnavailable, "this node holds no current release yet")
--- a/node/run.go
+++ b/node/run.go
@@ -189,6 +189,7 @@
 	if n.store != nil {
 		in.Headers = n.store.Headers
 		in.Stopping = n.stopper.begun.Load
+		in.Closed = n.stopper.closed.Load
 	} else {
 		in.Paused = n.driver.Paused
 	}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -261,7 +261,7 @@
 	defaultRetrySlack      = 50
 	defaultRetryWindow     = 10 * time.Second
 	defaultStopGrace       = 30 * time.Second
-	defaultStopUnready     = 2200 * time.Millisecond
+	defaultStopUnready     = 2800 * time.Millisecond
 )
 
 // Default returns the settings that a file starts from.
--- a/node/stopper.go
+++ b/node/stopper.go
@@ -13,13 +13,19 @@
 // stopPoll is the time between two looks for requests in flight.
 const stopPoll = 20 * time.Millisecond
 
+// peersShare is the part of the unready time after which peers send no more calls. Calls
+// that the server makes for its last requests need the rest.
+const peersShare = 0.4
+
 // stopper takes a node out of service whose backend server may go on running. The node
-// first tells callers to go elsewhere while it serves on, then refuses new calls, and
-// ends once none is in flight.
+// first tells callers to go elsewhere while it serves on, then refuses the calls of peers,
+// then new requests of callers, and ends once none is in flight.
 type stopper struct {
 	node *Node
 	// begun is set from the signal on.
-	begun  atomic.Bool
+	begun atomic.Bool
+	// closed is set once new requests of callers are refused.
+	closed atomic.Bool
 	signed chan struct{}
 }
 
@@ -45,10 +51,16 @@
 	}
 	n := s.node
 	end := time.Now().Add(n.live.Load().Stop.Grace.Std() - stopMargin)
-	if !pause(ctx, n.live.Load().Stop.Unready.Std()) {
+	unready := n.live.Load().Stop.Unready.Std()
+	toPeers := time.Duration(peersShare * float64(unready))
+	if !pause(ctx, toPeers) {
 		return false
 	}
 	n.command.SetLeaving(true, "stop signal")
+	if !pause(ctx, unready-toPeers) {
+		return false
+	}
+	s.closed.Store(true)
 	for time.Now().Before(end) && s.inFlight() > 0 {
 		if !pause(ctx, stopPoll) {
 			return false
--- a/node/store.go
+++ b/node/store.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/netip"
 
+	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/source"
 	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/follow"
+	"auburnladder.example/node/proxy/egress"
 	"auburnladder.example/wire/session"
 )
 
@@ -32,6 +34,15 @@
 	n.reader.Stopping = n.stopper.begun.Load
 }
 
+// egressConfig returns the limits of the egress.
+func (n *Node) egressConfig() egress.Config {
+	cfg := egress.DefaultConfig()
+	if n.store != nil {
+		cfg.Admission.Order = admission.OrderUrgency
+	}
+	return cfg
+}
+
 // newFollower prepares what follows the store. The sessions to peers must exist.
 func (n *Node) newFollower() {
 	cfg := follow.DefaultConfig()
