Write a line for each decision about a request; serve counters and histograms

Cause: failures were logged at debug only and without the request's id; metrics were expvar only. Change: node/decisions writes one line a decision with id, inputs and their age within a budget, and says what it dropped; logs go to standard output through a bounded buffer that never blocks (diode); node/metrics serves the expvar counters and three histograms as text. Ruled out: a writer per line (a system call each).

--- a/node/cmd/auburnladder-node/main.go
+++ b/node/cmd/auburnladder-node/main.go
@@ -66,7 +66,9 @@
 	if *format != "" {
 		cfg.Log.Format = settings.LogFormat(*format)
 	}
-	return serve(*file, cfg, stderr)
+	logs, closeLogs := newLogWriter(stdout)
+	defer closeLogs()
+	return serve(*file, cfg, logs)
 }
 
 func serve(file string, cfg *settings.Settings, logs io.Writer) int {
--- /dev/null
+++ b/node/decisions/decisions_test.go
@@ -0,0 +1,56 @@
+package decisions
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Lines are bounded by burst and rate, and what is dropped is said", t, func() {
+			var out bytes.Buffer
+			l := New(zerolog.New(&out), time.Now())
+			write := func(n int) int {
+				out.Reset()
+				for range n {
+					l.Notable("refused").Str("request", "r").Msg("refused")
+				}
+				return strings.Count(out.String(), "\n")
+			}
+			So(write(1000), ShouldEqual, notableBurst)
+			time.Sleep(500 * time.Millisecond)
+			So(write(1000), ShouldEqual, notableLines/2)
+			out.Reset()
+			l.report()
+			var line struct {
+				Event string
+				Lines int
+			}
+			So(json.Unmarshal(out.Bytes(), &line), ShouldBeNil)
+			So(line.Event, ShouldEqual, "lines-dropped")
+			So(line.Lines, ShouldEqual, 2000-notableBurst-notableLines/2)
+			out.Reset()
+			l.report()
+			So(out.Len(), ShouldEqual, 0)
+		})
+		Convey("Refusals have a budget of their own, and a nil log writes nothing", t, func() {
+			var out bytes.Buffer
+			l := New(zerolog.New(&out), time.Now())
+			for range 1000 {
+				l.Routine("request").Msg("")
+			}
+			out.Reset()
+			l.Notable("refused").Msg("")
+			So(out.Len(), ShouldBeGreaterThan, 0)
+			var none *Log
+			none.Routine("request").Msg("")
+		})
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/node/command"
+	"auburnladder.example/node/decisions"
 	"auburnladder.example/node/distribution"
 	"auburnladder.example/node/follow"
 	"auburnladder.example/node/peers"
@@ -50,7 +51,9 @@
 	store    *StoreAdapter
 	egress   *egress.Egress
 	tracer   *tracing.Tracer
-	drainer  *egress.Drainer
+	// decisions gets a line for each decision about a request.
+	decisions *decisions.Log
+	drainer   *egress.Drainer
 	// stopper takes the node out of service instead of drainer with a key-value store.
 	stopper *stopper
 	// tls is nil if connections between nodes are plain.
@@ -89,6 +92,8 @@
 		return nil, err
 	}
 	n.egress.Tracer = n.tracer
+	n.decisions = decisions.New(log, time.Now())
+	n.egress.Decisions = n.decisions
 	if store == nil {
 		n.drainer = egress.NewDrainer(n.egress, cmd, egress.DefaultDrainConfig())
 	} else {
--- a/node/proxy/egress/answer.go
+++ b/node/proxy/egress/answer.go
@@ -30,6 +30,7 @@
 	if err := x.readHead(conn, resp); err != nil {
 		return x.fail(ctx, conn, unexpectedEOF(err))
 	}
+	x.status = resp.StatusCode()
 	if x.notExecuted(resp) {
 		return x.refusedByServer(conn, resp, stop)
 	}
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -14,6 +14,7 @@
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/core/wirenames"
+	"auburnladder.example/node/decisions"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
@@ -24,9 +25,11 @@
 
 // Egress runs calls at the backend server beside this node. It alone sends to it.
 type Egress struct {
-	State  *state.State
-	Log    zerolog.Logger
-	Tracer *tracing.Tracer
+	State *state.State
+	Log   zerolog.Logger
+	// Decisions gets a line for each decision about a call; may be nil.
+	Decisions *decisions.Log
+	Tracer    *tracing.Tracer
 	// Now returns the time; tests replace it.
 	Now func() time.Time
 	// Headers names the headers that callers and servers use.
@@ -207,8 +210,7 @@
 	egressStats.Add("verdict_"+v.String(), 1)
 	span.End(v, err)
 	if err != nil {
-		e.Log.Debug().Err(err).Str("event", "call-ended").Str("peer", from.VM).
-			Stringer("verdict", v).Msg("call ended without a whole answer")
+		x.logFailure(v, err)
 	}
 }
 
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -11,6 +11,7 @@
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/metrics"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
@@ -52,6 +53,8 @@
 	// released is set once the slot was given back.
 	released bool
 	started  time.Time
+	// status is that of the server's answer, 0 before it.
+	status int
 }
 
 // serve answers the call in any case and returns its verdict.
@@ -88,6 +91,22 @@
 	return x.run(ctx, &watcher, cancel)
 }
 
+// logFailure records why a call got no whole answer and what that was decided by.
+func (x *exchange) logFailure(v verdict.Verdict, err error) {
+	e := x.egress
+	line := e.Decisions.Notable("call-failed")
+	if line == nil {
+		return
+	}
+	load := e.limiter.Load()
+	line.Err(err).Str("request", x.requestID()).Str("peer", x.from.VM).Str("route", x.call.GetRoute()).
+		Str("instance", x.instance).Stringer("verdict", v).Uint32("rank", x.call.GetRank()).
+		Int("in_flight", load.InFlight).Int("waiting", load.Queued).Int("limit", load.Limit).
+		Dur("left_ms", x.deadline.Sub(e.Now())).
+		Uint64("vm_list", e.State.Fleet().Revision).Dur("vm_list_age_ms", e.State.Fleet().Age(e.Now())).
+		Msg("call ended without a whole answer")
+}
+
 // watch cancels the call once the caller's node ends the stream.
 func (x *exchange) watch(cancel context.CancelFunc) {
 	var unexpected peerpb.Body
@@ -99,6 +118,8 @@
 func (x *exchange) admit(ctx context.Context) error {
 	l := x.egress.limiter
 	now := x.egress.Now()
+	outcome := admission.ReasonNone
+	defer func() { metrics.ObserveQueue(outcome.String(), x.egress.Now().Sub(now)) }()
 	d := l.Acquire(now, admission.Request{
 		Caller:    x.call.GetCaller(),
 		Route:     x.call.GetRoute(),
@@ -110,6 +131,7 @@
 	if d.Outcome == admission.Queued {
 		d = x.wait(ctx, d.Waiter)
 	}
+	outcome = d.Reason
 	if d.Outcome != admission.Granted {
 		return notAdmitted(d)
 	}
@@ -137,6 +159,9 @@
 		return
 	}
 	x.released = true
+	if !x.started.IsZero() {
+		metrics.ObserveServer(x.status, x.egress.Now().Sub(x.started))
+	}
 	res.Route = x.call.GetRoute()
 	x.egress.limiter.Release(x.egress.Now(), res)
 }
--- a/node/proxy/egress/identify.go
+++ b/node/proxy/egress/identify.go
@@ -1,12 +1,14 @@
 package egress
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
 	"github.com/valyala/fasthttp"
 )
@@ -62,8 +64,9 @@
 
 // requestID returns the id that the caller gave the request.
 func (x *exchange) requestID() string {
+	name := cmp.Or(x.egress.Headers.RequestID, proxy.RequestIDHeader)
 	for _, h := range x.call.GetHeaders() {
-		if h.GetName() == x.egress.Headers.RequestID {
+		if h.GetName() == name {
 			return h.GetValue()
 		}
 	}
--- a/node/proxy/ingress/answer.go
+++ b/node/proxy/ingress/answer.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 
@@ -64,7 +65,9 @@
 // refuse answers a request that this node didn't send on.
 func (g *Ingress) refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
 	metrics.notRun.Add(1)
-	g.Log.Debug().Str("event", "request-refused").Str("caller", g.Caller).Int("status", status).Msg(reason)
+	g.Decisions.Notable("request-refused").
+		Bytes("request", ctx.Request.Header.Peek(cmp.Or(g.Headers.RequestID, proxy.RequestIDHeader))).
+		Str("caller", g.Caller).Bytes("host", ctx.Host()).Bytes("path", ctx.Path()).Int("status", status).Msg(reason)
 	answer(ctx, status, verdict.NotRun, reason)
 }
 
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -10,7 +11,9 @@
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 )
 
@@ -100,9 +103,24 @@
 
 // logRetry records that another attempt follows a.
 func (c *call) logRetry(a *attempt) {
-	c.ingress.Log.Debug().Err(a.err).Str("event", "call-retried").Str("vm", a.endpoint.VM).
-		Str("service", c.target.Name).Str("route", c.match.Route.Name).
-		Stringer("verdict", a.verdict()).Msg("another attempt follows")
+	c.describe(c.ingress.Decisions.Notable("request-retried")).Err(a.err).Str("server", a.endpoint.VM).
+		Stringer("verdict", a.verdict()).Dur("left_ms", c.retry.Remaining(time.Now())).Msg("another attempt follows")
+}
+
+// describe adds what identifies the request and what its routing was decided by.
+func (c *call) describe(line *zerolog.Event) *zerolog.Event {
+	if line == nil {
+		return nil
+	}
+	st := c.ingress.State
+	return line.Str("request", c.requestID()).Str("service", c.target.Name).Str("route", c.match.Route.Name).
+		Uint32("attempts", uint32(c.retry.Attempts())).Uint64("release", c.message.GetRelease().GetSequence()).
+		Uint64("vm_list", st.Fleet().Revision).Dur("vm_list_age_ms", st.Fleet().Age(time.Now()))
+}
+
+// requestID returns the id that the caller gave the request, "" if none.
+func (c *call) requestID() string {
+	return string(c.ctx.Request.Header.Peek(cmp.Or(c.ingress.Headers.RequestID, proxy.RequestIDHeader)))
 }
 
 // conclude returns the last attempt's answer or its error. a is nil if no attempt was
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -17,6 +17,8 @@
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/core/wirenames"
+	"auburnladder.example/node/decisions"
+	nodemetrics "auburnladder.example/node/metrics"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/session"
@@ -47,6 +49,8 @@
 	Failed func()
 	Tracer *tracing.Tracer
 	Log    zerolog.Logger
+	// Decisions gets a line for each decision about a request; may be nil.
+	Decisions *decisions.Log
 	// Headers names the headers that callers and servers use.
 	Headers wirenames.Headers
 	// Stopping reports whether callers are to take their next request elsewhere; nil if
@@ -130,19 +134,32 @@
 	if err != nil {
 		span.End(verdict.Of(err), err)
 		g.fail(ctx, &c, err)
-		return
+	} else {
+		span.End(verdict.Ran, nil)
+		metrics.answered.Add(1)
+		g.logAnswer(&c, a, now)
+		writeReply(ctx, a)
+	}
+	nodemetrics.ObserveRequest(target.Name, ctx.Response.StatusCode(), time.Since(now))
+}
+
+// logAnswer records which server answered and what led to it.
+func (g *Ingress) logAnswer(c *call, a *attempt, began time.Time) {
+	status := int(a.reply.GetStatus())
+	line := g.Decisions.Routine("request-answered")
+	if status >= fasthttp.StatusInternalServerError || c.retry.Attempts() > 1 {
+		line = g.Decisions.Notable("request-answered")
 	}
-	span.End(verdict.Ran, nil)
-	metrics.answered.Add(1)
-	writeReply(ctx, a)
+	c.describe(line).Str("server", a.endpoint.VM).Str("instance", a.endpoint.Instance).
+		Int("status", status).Dur("took_ms", time.Since(began)).Msg("answer of the server passed on")
 }
 
 // fail answers a call that got no answer from a server.
 func (g *Ingress) fail(ctx *fasthttp.RequestCtx, c *call, err error) {
 	v := verdict.Of(err)
 	countFailure(v)
-	g.Log.Debug().Err(err).Str("event", "call-failed").Str("service", c.target.Name).
-		Str("route", c.match.Route.Name).Stringer("verdict", v).Msg("call ended without an answer")
+	c.describe(g.Decisions.Notable("request-failed")).Err(err).Stringer("verdict", v).
+		Dur("left_ms", c.retry.Remaining(time.Now())).Dur("retry_after_ms", c.wait).Msg("request ended without an answer of a server")
 	if errors.Is(err, errCallerGone) {
 		metrics.callerGone.Add(1)
 		ctx.SetConnectionClose()
--- a/node/run.go
+++ b/node/run.go
@@ -10,6 +10,7 @@
 
 	"auburnladder.example/core/drain"
 	"auburnladder.example/node/admin"
+	"auburnladder.example/node/metrics"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/proxy/ingress"
 	"auburnladder.example/wire/peerpb"
@@ -62,6 +63,7 @@
 func (n *Node) startTasks(ctx context.Context, tasks *conc.WaitGroup, cancel context.CancelCauseFunc) {
 	tasks.Go(func() { n.router.Run(ctx) })
 	tasks.Go(func() { n.egress.Run(ctx) })
+	tasks.Go(func() { n.decisions.Run(ctx) })
 	if n.tls != nil {
 		tasks.Go(func() { n.tls.Run(ctx, n.cfg.PeerTLS.Reload.Std()) })
 	}
@@ -163,6 +165,15 @@
 	if addrs.Local.IsValid() {
 		all = append(all, listener{name: "local", addr: addrs.Local, serve: n.serveCallers(n.cfg.VM.Service, n.egress.DependencyFailed)})
 	}
+	if addrs.Metrics.IsValid() {
+		srv, err := metrics.NewServer()
+		if err != nil {
+			n.log.Error().Err(err).Str("event", "metrics-failed").Msg("metrics are not served")
+			return all
+		}
+		n.shutdown = append(n.shutdown, func() { _ = srv.Close() })
+		all = append(all, listener{name: "metrics", addr: addrs.Metrics, serve: srv.Serve})
+	}
 	return all
 }
 
@@ -178,13 +189,14 @@
 // It calls failed after each failure, if that is not nil.
 func (n *Node) serveCallers(caller string, failed func()) func(net.Listener) error {
 	in := &ingress.Ingress{
-		State:    n.state,
-		Sessions: n.peers,
-		Router:   n.router,
-		Caller:   caller,
-		Failed:   failed,
-		Tracer:   n.tracer,
-		Log:      n.log,
+		State:     n.state,
+		Sessions:  n.peers,
+		Router:    n.router,
+		Caller:    caller,
+		Failed:    failed,
+		Tracer:    n.tracer,
+		Decisions: n.decisions,
+		Log:       n.log,
 	}
 	if n.store != nil {
 		in.Headers = n.store.Headers
--- a/node/state/fleet.go
+++ b/node/state/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"auburnladder.example/core/membership"
 	"auburnladder.example/core/vmlist"
@@ -10,6 +11,8 @@
 // Fleet is an immutable VM list, corrected by what probing found, with its indexes.
 type Fleet struct {
 	Revision uint64
+	// since is when the list came into use.
+	since time.Time
 	// VMs is the list as published. Leaving is also set for VMs that announced that
 	// they leave.
 	VMs       []vmlist.VM
@@ -34,9 +37,13 @@
 	return s.live
 }
 
+// Age returns how long the list has been in use without a change.
+func (f *Fleet) Age(now time.Time) time.Duration { return now.Sub(f.since) }
+
 func newFleet(l *vmlist.List, view *membership.View) *Fleet {
 	f := &Fleet{
 		Revision:  l.Revision,
+		since:     time.Now(),
 		VMs:       make([]vmlist.VM, len(l.VMs)),
 		list:      l,
 		view:      view,
