--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -22,10 +22,10 @@
 	ReturnGrace time.Duration
 }
 
-// DefaultConfig follows the store's promise that expired entries of living servers are
-// back within about two seconds.
+// DefaultConfig keeps entries almost as long as living servers may take to be listed
+// again, two seconds, and less than it may take until a server that left gets no work.
 func DefaultConfig() Config {
-	return Config{OutageAfter: time.Second, ReturnGrace: 2200 * time.Millisecond}
+	return Config{OutageAfter: time.Second, ReturnGrace: 1700 * time.Millisecond}
 }
 
 // Replica is a node's copy of the store. It belongs to one goroutine.
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -185,11 +185,6 @@
 
 // forward sends the request and passes the answer on.
 func (x *exchange) forward(ctx context.Context, req *fasthttp.Request, watcher *conc.WaitGroup, cancel context.CancelFunc) (verdict.Verdict, error) {
-	if us := x.call.GetAttemptUs(); us > 0 {
-		limited, end := context.WithTimeout(ctx, time.Duration(us)*time.Microsecond)
-		defer end()
-		ctx = limited
-	}
 	conn, err := x.send(ctx, req)
 	if err != nil {
 		return x.refuse(err)
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -104,7 +104,6 @@
 	msg.RemainingUs = uint64(max(0, (time.Until(a.deadline) - replyMargin).Microseconds()))
 	msg.ObjectiveUs = time.Until(a.call.objective).Microseconds()
 	msg.Instance = a.endpoint.Instance
-	msg.AttemptUs = uint64(a.call.serverTime(time.Now()).Microseconds())
 	req := peerpb.Request{Kind: &peerpb.Request_Call{Call: msg}}
 	if err := a.stream.Send(&req); err != nil {
 		return err
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -140,36 +140,18 @@
 	return nil, &verdict.Error{Verdict: c.retry.Verdict(), Err: err}
 }
 
-// repeatable reports whether a lost answer to the next attempt can be asked for again.
-func (c *call) repeatable() bool {
-	route := c.match.Route
-	return route.Idempotent && c.retry.Attempts()+1 < route.Retry.Attempts
-}
-
-// attemptTime returns how long the next attempt may take: half of what is left
-// while a lost answer can be asked for again, else all of it. Nodes that follow the VM
-// list bound the server's time instead, so that waiting for a slot ends no attempt.
+// attemptTime returns how long the next attempt may take. Where callers state deadlines
+// that is all that is left: a server's silence ends no request. Elsewhere it is half while
+// a lost answer can be asked for again.
 func (c *call) attemptTime(now time.Time) time.Duration {
 	left := c.retry.Remaining(now)
-	if c.repeatable() && c.ingress.Headers.Deadline == "" {
+	route := c.match.Route
+	if c.ingress.Headers.Deadline == "" && route.Idempotent && c.retry.Attempts()+1 < route.Retry.Attempts {
 		return left / 2
 	}
 	return left
 }
 
-// serverTime returns how long the server may take for the next attempt, 0 for all that
-// remains.
-func (c *call) serverTime(now time.Time) time.Duration {
-	if !c.repeatable() || c.ingress.Headers.Deadline == "" {
-		return 0
-	}
-	return time.Duration(serverTimeShare * float64(c.retry.Remaining(now)))
-}
-
-// serverTimeShare is the part of the remaining time that a server gets while its answer
-// can be asked for again: the rest must suffice for another server.
-const serverTimeShare = 0.6
-
 // rank returns the order of a route under overload, 0 first.
 func rank(m *mesh.Match) uint32 {
 	switch {
