Test the replica of the store: removals after an outage, entries, any order of reads

Cause: core/source had no test. The property test reads a changing store by watches and copies of any age and compares with what the store held at the replica's revision.

--- /dev/null
+++ b/core/source/replica_test.go
@@ -0,0 +1,186 @@
+package source
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/vmlist"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// textDecoder reads entries that are JSON of a VM; keys of one letter are servers.
+type textDecoder struct{}
+
+func (textDecoder) Kind(key string) Kind {
+	switch {
+	case key == "config":
+		return Release
+	case key[0] == 's':
+		return Server
+	default:
+		return Other
+	}
+}
+
+func (textDecoder) Release([]byte) (*mesh.Published, error) { return &mesh.Published{}, nil }
+
+func (textDecoder) Server(_ string, value []byte) (ServerEntry, error) {
+	var e ServerEntry
+	err := json.Unmarshal(value, &e)
+	return e, err
+}
+
+func encode(vm string, born int64, leaving bool) []byte {
+	data, err := json.Marshal(ServerEntry{VM: vmlist.VM{ID: vm, Leaving: leaving}, Born: born})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func ids(vms []vmlist.VM) []string {
+	names := []string{}
+	for _, vm := range vms {
+		names = append(names, vm.ID)
+	}
+	return names
+}
+
+var start = time.Unix(1000, 0)
+
+func TestRemovalAfterOutage(t *testing.T) {
+	put := func(r *Replica) {
+		r.Replace(start, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 2}, {Key: "s2", Value: encode("b", 1, false), Revision: 3}}, 3)
+	}
+	gone := Changes{Changes: []Change{{Item: Item{Key: "s1", Revision: 4}, Removed: true}}, Revision: 4}
+	Convey("Without an outage a removed server is gone at once", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		put(r)
+		r.Failed(start)
+		r.Answered(start.Add(DefaultConfig().OutageAfter - time.Millisecond))
+		r.Apply(start.Add(time.Second), gone)
+		So(ids(r.VMs()), ShouldResemble, []string{"b"})
+	})
+	Convey("After an outage a removed server stays for the grace, then it is gone", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		put(r)
+		r.Failed(start)
+		back := start.Add(5 * time.Second)
+		r.Answered(back)
+		r.Apply(back.Add(time.Second), gone)
+		So(ids(r.VMs()), ShouldResemble, []string{"a", "b"})
+		end := back.Add(DefaultConfig().ReturnGrace)
+		So(r.Expire(end.Add(-time.Millisecond)).Equal(end), ShouldBeTrue)
+		before := r.ListChanges()
+		So(r.Expire(end).IsZero(), ShouldBeTrue)
+		So(ids(r.VMs()), ShouldResemble, []string{"b"})
+		So(r.ListChanges(), ShouldBeGreaterThan, before)
+	})
+	Convey("The grace ends before a server that left must get no work", t, func() {
+		So(DefaultConfig().ReturnGrace, ShouldBeLessThan, 2*time.Second)
+	})
+	Convey("A server that is listed again within the grace is not dropped", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		put(r)
+		r.Failed(start)
+		back := start.Add(5 * time.Second)
+		r.Answered(back)
+		r.Replace(back, []Item{{Key: "s2", Value: encode("b", 1, false), Revision: 3}}, 9)
+		So(ids(r.VMs()), ShouldResemble, []string{"a", "b"})
+		r.Apply(back.Add(time.Second), Changes{Changes: []Change{{Item: Item{Key: "s1", Value: encode("a", 1, false), Revision: 10}}}, Revision: 10})
+		r.Expire(back.Add(time.Minute))
+		So(ids(r.VMs()), ShouldResemble, []string{"a", "b"})
+	})
+	Convey("A server that reports its leave is believed at once, also after an outage", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		put(r)
+		r.Failed(start)
+		r.Answered(start.Add(time.Minute))
+		r.Apply(start.Add(time.Minute), Changes{Changes: []Change{{Item: Item{Key: "s1", Value: encode("a", 1, true), Revision: 4}}}, Revision: 4})
+		So(r.VMs()[0].Leaving, ShouldBeTrue)
+	})
+}
+
+func TestEntries(t *testing.T) {
+	Convey("An entry that can't be read names no server and harms no other", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		r.Replace(start, []Item{{Key: "s1", Value: []byte("{"), Revision: 2}, {Key: "s2", Value: encode("b", 1, false), Revision: 3}, {Key: "x", Value: []byte("?"), Revision: 3}}, 3)
+		So(ids(r.VMs()), ShouldResemble, []string{"b"})
+		So(r.Problems(), ShouldHaveLength, 1)
+		So(r.Problems(), ShouldBeEmpty)
+	})
+	Convey("Of two entries for one VM the younger server counts, whatever its state", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		r.Replace(start, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 2}, {Key: "s2", Value: encode("a", 2, true), Revision: 3}}, 3)
+		So(r.VMs(), ShouldHaveLength, 1)
+		So(r.VMs()[0].Leaving, ShouldBeTrue)
+	})
+	Convey("An older copy changes nothing", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		r.Replace(start, []Item{{Key: "config", Value: []byte("new"), Revision: 8}}, 9)
+		So(r.Replace(start, []Item{{Key: "config", Value: []byte("old"), Revision: 2}}, 4), ShouldBeFalse)
+		item, found := r.Item(Release)
+		So(found, ShouldBeTrue)
+		So(string(item.Value), ShouldEqual, "new")
+		So(r.Revision(), ShouldEqual, 9)
+	})
+}
+
+// TestAnyOrder reads a changing store in pages, by watches and from copies, and expects
+// the replica to hold what the store held at the replica's revision.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Change
+		states := []map[string]Item{{}}
+		at := func() int { return len(states) - 1 }
+		change := func() {
+			key := fmt.Sprintf("s%d", rapid.IntRange(1, 4).Draw(t, "key"))
+			revision := uint64(len(states))
+			next := make(map[string]Item)
+			for k, v := range states[at()] {
+				next[k] = v
+			}
+			c := Change{Item: Item{Key: key, Revision: revision}, Removed: rapid.Bool().Draw(t, "removed")}
+			if c.Removed {
+				delete(next, key)
+			} else {
+				c.Value = encode(key, int64(revision), false)
+				next[key] = c.Item
+			}
+			history = append(history, c)
+			states = append(states, next)
+		}
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				change()
+			case 2:
+				from := int(r.Revision())
+				to := rapid.IntRange(from, at()).Draw(t, "to")
+				r.Apply(start, Changes{Changes: history[from:to], Revision: uint64(to)})
+			case 3:
+				// A copy of any age, as a peer or the pages of the store give it.
+				revision := rapid.IntRange(0, at()).Draw(t, "copy")
+				var items []Item
+				for _, item := range states[revision] {
+					items = append(items, item)
+				}
+				r.Replace(start, items, uint64(revision))
+			}
+			want := states[r.Revision()]
+			if len(r.Items()) != len(want) {
+				t.Fatalf("revision %d: %d items, want %d", r.Revision(), len(r.Items()), len(want))
+			}
+			for _, item := range r.Items() {
+				if want[item.Key].Revision != item.Revision {
+					t.Fatalf("revision %d: %s has revision %d, want %d", r.Revision(), item.Key, item.Revision, want[item.Key].Revision)
+				}
+			}
+		}
+	})
+}
