--- a/node/peers/links.go
+++ b/node/peers/links.go
@@ -117,6 +117,19 @@
 	return n
 }
 
+// Streams returns the number of open streams of all sessions.
+func (s *Set) Streams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, links := range s.links {
+		for _, l := range links {
+			n += l.session.Streams()
+		}
+	}
+	return n
+}
+
 // closeIdle closes sessions of this node that carried no stream for MaxIdle.
 func (s *Set) closeIdle() {
 	ticker := time.NewTicker(s.cfg.MaxIdle / 2)
--- a/node/run.go
+++ b/node/run.go
@@ -22,8 +22,6 @@
 const (
 	// callersTimeout bounds how long requests of callers may take to end at a stop.
 	callersTimeout = 10 * time.Second
-	// lastWordsTimeout is what is left for them after the stopper has waited.
-	lastWordsTimeout = 100 * time.Millisecond
 )
 
 // listener is one address that the node serves.
@@ -123,11 +121,11 @@
 
 // stopCallers lets the requests of callers end and closes their connections.
 func (n *Node) stopCallers() {
-	timeout := callersTimeout
+	end := time.Now().Add(callersTimeout)
 	if n.store != nil {
-		timeout = lastWordsTimeout
+		end = n.stopper.end()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, srv := range n.callers {
 		if err := srv.ShutdownWithContext(ctx); err != nil {
--- a/node/stopper.go
+++ b/node/stopper.go
@@ -26,7 +26,9 @@
 	begun atomic.Bool
 	// closed is set once new requests of callers are refused.
 	closed atomic.Bool
-	signed chan struct{}
+	// deadline is set by the signal.
+	deadline atomic.Pointer[time.Time]
+	signed   chan struct{}
 }
 
 func newStopper(n *Node) *stopper {
@@ -38,6 +40,8 @@
 	if s.begun.Swap(true) {
 		return
 	}
+	end := time.Now().Add(s.node.live.Load().Stop.Grace.Std() - stopMargin)
+	s.deadline.Store(&end)
 	s.node.log.Info().Str("event", "stopping").Msg("node tells callers to go elsewhere")
 	s.signed <- struct{}{}
 }
@@ -50,7 +54,6 @@
 	case <-s.signed:
 	}
 	n := s.node
-	end := time.Now().Add(n.live.Load().Stop.Grace.Std() - stopMargin)
 	unready := n.live.Load().Stop.Unready.Std()
 	toPeers := time.Duration(peersShare * float64(unready))
 	if !pause(ctx, toPeers) {
@@ -61,15 +64,36 @@
 		return false
 	}
 	s.closed.Store(true)
-	for time.Now().Before(end) && s.inFlight() > 0 {
+	if !s.await(ctx, func() bool { return s.inFlight() == 0 }) {
+		return false
+	}
+	n.stopCallers()
+	// Answers that peers have not read in full yet are still on their streams.
+	if !s.await(ctx, func() bool { return n.peers.Streams() == 0 }) {
+		return false
+	}
+	n.log.Info().Str("event", "drained").Int64("in_flight", s.inFlight()).Msg("node takes no new calls")
+	return true
+}
+
+// await waits until done or the end of the stop. It returns false if ctx ended first.
+func (s *stopper) await(ctx context.Context, done func() bool) bool {
+	for !done() && time.Now().Before(s.end()) {
 		if !pause(ctx, stopPoll) {
 			return false
 		}
 	}
-	n.log.Info().Str("event", "drained").Int64("in_flight", s.inFlight()).Msg("node takes no new calls")
 	return true
 }
 
+// end returns when the node must have stopped.
+func (s *stopper) end() time.Time {
+	if at := s.deadline.Load(); at != nil {
+		return *at
+	}
+	return time.Now()
+}
+
 func (s *stopper) inFlight() int64 {
 	total := s.node.egress.Active()
 	for _, in := range s.node.ingresses {
