Let only steady clocks decide

Cause: holds of servers, retry budgets and idle times were kept as wall nanoseconds, and the egress took a wall clock step of 2 s or more for a pause and refused all calls for a second. Change: core/steady gives numbers by the steady clock and the time since the VM's boot (CLOCK_BOOTTIME), which alone shows a suspension.

--- a/core/admission/pause.go
+++ b/core/admission/pause.go
@@ -13,10 +13,10 @@
 // for concurrent use.
 type PauseDetector struct {
 	cfg PauseConfig
-	// last is the time of the latest observation.
-	last atomic.Pointer[time.Time]
-	// wake is the end of the latest pause, nil if there was none.
-	wake atomic.Pointer[time.Time]
+	// last is the time of the latest observation, in nanoseconds since the boot.
+	last atomic.Int64
+	// wake is the end of the latest pause, in the same unit, 0 if there was none.
+	wake atomic.Int64
 }
 
 // PauseConfig holds the limits of a PauseDetector.
@@ -35,36 +35,33 @@
 	return PauseConfig{MaxGap: 2 * time.Second, Settle: time.Second}
 }
 
-// NewPauseDetector returns a detector for a process that runs at now.
-func NewPauseDetector(cfg PauseConfig, now time.Time) *PauseDetector {
+// NewPauseDetector returns a detector for a process that runs at the given time since
+// the VM's boot.
+func NewPauseDetector(cfg PauseConfig, at time.Duration) *PauseDetector {
 	d := &PauseDetector{cfg: cfg}
-	d.last.Store(&now)
+	d.last.Store(int64(at))
 	return d
 }
 
-// Observe notes that the process runs at now and reports whether calls that arrive now
-// may be stale. A suspended VM stops the monotonic clock, so the larger of the
-// monotonic and the wall clock's gap counts.
-func (d *PauseDetector) Observe(now time.Time) bool {
-	last := d.last.Load()
-	if gap(*last, now) > d.cfg.MaxGap && d.last.CompareAndSwap(last, &now) {
-		d.wake.Store(&now)
+// Observe notes that the process runs at the given time since the VM's boot and reports
+// whether calls that arrive now may be stale. The time must go on while the VM is
+// suspended and never step, as steady.Boot does.
+func (d *PauseDetector) Observe(at time.Duration) bool {
+	now, last := int64(at), d.last.Load()
+	gap := time.Duration(now - last)
+	if gap > d.cfg.MaxGap {
+		if d.last.CompareAndSwap(last, now) {
+			d.wake.Store(now)
+		}
 		return true
 	}
-	if gap(*last, now) > d.cfg.MaxGap {
-		return true
-	}
-	if now.Sub(*last) > d.cfg.MaxGap/observeShare {
-		d.last.Store(&now)
+	if gap > d.cfg.MaxGap/observeShare {
+		d.last.Store(now)
 	}
 	wake := d.wake.Load()
-	return wake != nil && now.Sub(*wake) < d.cfg.Settle
+	return wake != 0 && time.Duration(now-wake) < d.cfg.Settle
 }
 
 // observeShare is the share of MaxGap after which an observation is stored, so that
 // most calls only read.
 const observeShare = 20
-
-func gap(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
-}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"auburnladder.example/core/steady"
 )
 
 // milli is the number of budget units in one retry.
@@ -33,7 +35,7 @@
 	b := &Budget{}
 	b.cfg.Store(&cfg)
 	b.tokens.Store(int64(cfg.Burst) * milli)
-	b.refilled.Store(now.UnixNano())
+	b.refilled.Store(steady.Nanos(now))
 	return b
 }
 
@@ -65,9 +67,9 @@
 // meet here credits the elapsed time.
 func (b *Budget) refill(now time.Time) {
 	last := b.refilled.Load()
-	elapsed := time.Duration(now.UnixNano() - last)
+	elapsed := time.Duration(steady.Nanos(now) - last)
 	amount := int64(elapsed.Seconds() * b.cfg.Load().PerSecond * milli)
-	if amount > 0 && b.refilled.CompareAndSwap(last, now.UnixNano()) {
+	if amount > 0 && b.refilled.CompareAndSwap(last, steady.Nanos(now)) {
 		b.credit(amount)
 	}
 }
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"auburnladder.example/core/steady"
 )
 
 // Server identifies one backend server and says where it is.
@@ -114,7 +116,7 @@
 		raise(&e.refusedUntil, now.Add(o.RetryAfter))
 	case Starting:
 		raise(&e.refusedUntil, now.Add(o.RetryAfter))
-		e.coldSince.Store(now.UnixNano())
+		e.coldSince.Store(steady.Nanos(now))
 	case Unreachable:
 		e.consecutive.Add(1)
 		raise(&e.heldUntil, now.Add(e.cfg.UnreachableHold))
@@ -127,7 +129,7 @@
 	others -= min(others, uint64(max(own, 0)))
 	others = min(others, math.MaxUint32)
 	e.others.Store(others<<32 | uint64(l.Limit))
-	e.reportedAt.Store(now.UnixNano())
+	e.reportedAt.Store(steady.Nanos(now))
 	if l.Leaving {
 		raise(&e.leavingUntil, now.Add(e.cfg.LeavingHold))
 	}
@@ -155,7 +157,7 @@
 	if limit == 0 {
 		limit = e.slots.Load()
 	}
-	age := time.Duration(now.UnixNano() - e.reportedAt.Load())
+	age := time.Duration(steady.Nanos(now) - e.reportedAt.Load())
 	others := float64(packed>>32) * decay(age, e.cfg.LoadHalfLife)
 	return (float64(e.inFlight.Load()) + others + 1) / float64(limit)
 }
@@ -163,7 +165,7 @@
 // Weight returns the share of full speed that the server has reached since it
 // became cold: from ColdWeight to 1 over slowStart.
 func (e *Endpoint) Weight(now time.Time, slowStart time.Duration) float64 {
-	age := time.Duration(now.UnixNano() - e.coldSince.Load())
+	age := time.Duration(steady.Nanos(now) - e.coldSince.Load())
 	if age >= slowStart || slowStart <= 0 {
 		return 1
 	}
@@ -174,14 +176,14 @@
 // Blocked reports whether the server must not be used: it leaves, or it refused
 // and its time isn't over.
 func (e *Endpoint) Blocked(now time.Time) bool {
-	at := now.UnixNano()
+	at := steady.Nanos(now)
 	return e.leaving.Load() || at < e.leavingUntil.Load() || at < e.refusedUntil.Load()
 }
 
 // Suspect reports whether the server should be used only if no other is left: it
 // is ejected, on probation with a request in flight, or couldn't be reached.
 func (e *Endpoint) Suspect(now time.Time) bool {
-	at := now.UnixNano()
+	at := steady.Nanos(now)
 	if at < e.ejectedUntil.Load() || at < e.heldUntil.Load() {
 		return true
 	}
@@ -190,12 +192,12 @@
 
 // Ejected reports whether the server is ejected as an outlier.
 func (e *Endpoint) Ejected(now time.Time) bool {
-	return now.UnixNano() < e.ejectedUntil.Load()
+	return steady.Nanos(now) < e.ejectedUntil.Load()
 }
 
 // refusalLeft returns the time until a refusal ends, or 0 if waiting doesn't help.
 func (e *Endpoint) refusalLeft(now time.Time) time.Duration {
-	at := now.UnixNano()
+	at := steady.Nanos(now)
 	if e.leaving.Load() || at < e.leavingUntil.Load() {
 		return 0
 	}
@@ -206,7 +208,7 @@
 func raise(v *atomic.Int64, t time.Time) {
 	for {
 		old := v.Load()
-		if old >= t.UnixNano() || v.CompareAndSwap(old, t.UnixNano()) {
+		if old >= steady.Nanos(t) || v.CompareAndSwap(old, steady.Nanos(t)) {
 			return
 		}
 	}
--- a/core/routing/outlier.go
+++ b/core/routing/outlier.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"auburnladder.example/core/steady"
+)
 
 // outlierState is what the sweeping goroutine remembers about one endpoint.
 type outlierState struct {
@@ -135,8 +139,8 @@
 	st.failed = e.failed.Load()
 	e.consecutive.Store(0)
 	e.probation.Store(cfg.ProbationSuccesses)
-	e.coldSince.Store(st.lastEnd.UnixNano())
-	e.ejectedUntil.Store(st.lastEnd.UnixNano())
+	e.coldSince.Store(steady.Nanos(st.lastEnd))
+	e.ejectedUntil.Store(steady.Nanos(st.lastEnd))
 	return duration
 }
 
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/steady"
 )
 
 // sampleTries bounds the random draws before all servers are scanned.
@@ -197,7 +198,7 @@
 	e := old
 	if e == nil || e.Server != s {
 		e = &Endpoint{Server: s, cfg: &d.cfg, distance: d.distance(s)}
-		e.coldSince.Store(now.UnixNano())
+		e.coldSince.Store(steady.Nanos(now))
 	}
 	e.leaving.Store(leaving)
 	e.slots.Store(uint32(max(1, cmp.Or(s.Slots, svc.Server.Slots))))
--- a/node/peers/links.go
+++ b/node/peers/links.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnladder.example/core/steady"
 	"auburnladder.example/wire/session"
 )
 
@@ -27,7 +28,7 @@
 
 // idle reports whether the session carried no stream since the given time.
 func (l *link) idle(since time.Time) bool {
-	return l.dialed && l.session.Streams() == 0 && l.lastUse.Load() < since.UnixNano()
+	return l.dialed && l.session.Streams() == 0 && l.lastUse.Load() < steady.Nanos(since)
 }
 
 // find returns the session that Get uses, or nil. It takes no lock.
@@ -40,14 +41,14 @@
 	if !l.usable() {
 		return nil
 	}
-	l.lastUse.Store(time.Now().UnixNano())
+	l.lastUse.Store(steady.Nanos(time.Now()))
 	return l.session
 }
 
 // register adds a session and tells the observer if it is the first to its VM.
 func (s *Set) register(vm string, ses *session.Session, dialed bool) *link {
 	l := &link{vm: vm, session: ses, dialed: dialed}
-	l.lastUse.Store(time.Now().UnixNano())
+	l.lastUse.Store(steady.Nanos(time.Now()))
 	s.notify.Lock()
 	defer s.notify.Unlock()
 	s.mu.Lock()
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -12,6 +12,7 @@
 
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/steady"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/decisions"
@@ -38,7 +39,9 @@
 	// work. Peers then decide which calls lead to its service, and are believed.
 	ByList bool
 
-	cfg     Config
+	cfg Config
+	// boot returns the time since the VM's boot, which counts suspension.
+	boot    func() time.Duration
 	limiter *admission.Limiter
 	pool    *serverPool
 	seen    *seenCalls
@@ -57,10 +60,10 @@
 // New returns an egress for the backend server at addr. Run must be running
 // while it serves.
 func New(st *state.State, addr netip.AddrPort, cfg Config, log zerolog.Logger) *Egress {
-	return newEgress(st, addr, log, cfg, time.Now)
+	return newEgress(st, addr, log, cfg, time.Now, steady.Boot)
 }
 
-func newEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger, cfg Config, now func() time.Time) *Egress {
+func newEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger, cfg Config, now func() time.Time, boot func() time.Duration) *Egress {
 	e := &Egress{
 		State:   st,
 		Log:     log,
@@ -69,7 +72,8 @@
 		limiter: admission.New(cfg.Admission, now()),
 		pool:    newServerPool(addr, cfg.Server, now),
 		seen:    newSeenCalls(cfg.SeenCalls),
-		pause:   admission.NewPauseDetector(cfg.Pause, now()),
+		boot:    boot,
+		pause:   admission.NewPauseDetector(cfg.Pause, boot()),
 	}
 	e.pool.onRestart = func() { e.limiter.Restart(now()) }
 	return e
@@ -86,7 +90,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			e.pause.Observe(e.Now())
+			e.pause.Observe(e.boot())
 			e.adoptServer()
 			e.limiter.Refresh(e.Now())
 			e.publishLoad()
@@ -112,11 +116,11 @@
 // DependencyFailed notes that a call which the backend server made through this node
 // got no good answer. It may be called from any goroutine.
 func (e *Egress) DependencyFailed() {
-	e.dependencyFailed.Store(e.Now().UnixNano())
+	e.dependencyFailed.Store(steady.Nanos(e.Now()))
 }
 
 func (e *Egress) dependencyFailedSince(t time.Time) bool {
-	return e.dependencyFailed.Load() >= t.UnixNano()
+	return e.dependencyFailed.Load() >= steady.Nanos(t)
 }
 
 // service returns the configuration of this node's own service, or nil.
@@ -200,7 +204,7 @@
 		from:     from,
 		call:     call,
 		stream:   st,
-		stale:    e.pause.Observe(now),
+		stale:    e.pause.Observe(e.boot()),
 		deadline: now.Add(e.remaining(call)),
 	}
 	egressStats.Add("calls", 1)
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -216,7 +216,7 @@
 			return sentRequest{}, notConnected(err)
 		}
 		now := e.Now()
-		if e.pause.Observe(now) || !now.Before(x.deadline) || ctx.Err() != nil {
+		if e.pause.Observe(e.boot()) || !now.Before(x.deadline) || ctx.Err() != nil {
 			e.pool.put(conn)
 			return sentRequest{}, refused(peerpb.Refusal_REFUSAL_DEADLINE, "no time was left to send the call")
 		}
