--- /dev/null
+++ b/e2e/store_test.go
@@ -0,0 +1,148 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"auburnladder.example/e2e/harness"
+	"auburnladder.example/platform/standin"
+)
+
+// storeConfig is a configuration of the platform with routes to two services.
+func storeConfig(version int, prefix string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":{"columns":["name","host","prefix","kind","timeout","targetLatency","priority","service","maxAttempts"],
+"rows":[["read","a.example","%s","safe","4000ms","500ms",2,"a",2],["book","b.example","/","unsafe","4000ms","600ms",1,"b",2]]},
+"services":{"columns":["name","maxConns"],"rows":[["a",20],["b",20]]},
+"limits":{"headerBytes":16384,"bodyBytes":1048576,"header":"3000ms","idle":"15000ms"}}`, version, prefix)
+}
+
+func startStore(t *testing.T) *harness.StoreCluster {
+	dir, err := os.MkdirTemp("", "auburnladder-store-")
+	So(err, ShouldBeNil)
+	absolute, err := filepath.Abs(root)
+	So(err, ShouldBeNil)
+	c, err := harness.StartStore(absolute, binaries, dir, "a", "a", "b")
+	t.Cleanup(func() {
+		c.Stop()
+		if t.Failed() {
+			t.Logf("logs: %s", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
+	So(err, ShouldBeNil)
+	c.Store.Put("op/config", storeConfig(3, "/x/"))
+	for _, vm := range c.VMs {
+		So(c.Ready(vm), ShouldBeNil)
+	}
+	return c
+}
+
+// served sends a request until it is answered with the status.
+func served(c *harness.StoreCluster, vm *harness.StoreVM, method, host, path string, status int) {
+	So(harness.Eventually(fmt.Sprintf("%s %s%s answered with %d", method, host, path, status), func() error {
+		resp, err := c.Send(vm, method, host, path, "r1")
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode != status {
+			return fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	}), ShouldBeNil)
+}
+
+func TestStorePath(t *testing.T) {
+	Convey("Nodes with the platform's settings serve, are read by operators, and follow the store", t, func() {
+		c := startStore(t)
+		for _, vm := range c.VMs {
+			served(c, vm, http.MethodGet, "a.example", "/x/1", http.StatusOK)
+			served(c, vm, http.MethodPost, "b.example", "/1", http.StatusOK)
+			served(c, vm, http.MethodGet, "a.example", "/y/1", http.StatusNotFound)
+			So(c.ReadyStatus(vm), ShouldBeNil)
+			So(c.Metrics(vm), ShouldBeNil)
+		}
+		out, err := c.CLI(c.VMs[1], "status", "--output", "json")
+		So(err, ShouldBeNil)
+		So(string(out), ShouldContainSubstring, `"in_force": 3`)
+		out, err = c.CLI(c.VMs[1], "explain", "GET", "http://a.example/x/1")
+		So(err, ShouldBeNil)
+		So(string(out), ShouldContainSubstring, "read")
+
+		c.Store.Put("op/config", []byte(`{"version":4,"routes":{}}`))
+		c.Store.Put("op/config", storeConfig(9, "/y/"))
+		served(c, c.VMs[0], http.MethodGet, "a.example", "/y/1", http.StatusOK)
+		served(c, c.VMs[0], http.MethodGet, "a.example", "/x/1", http.StatusNotFound)
+
+		c.List(c.VMs[2], 2, "draining")
+		served(c, c.VMs[0], http.MethodPost, "b.example", "/1", http.StatusServiceUnavailable)
+		before := c.VMs[2].Runs.Load()
+		served(c, c.VMs[0], http.MethodPost, "b.example", "/1", http.StatusServiceUnavailable)
+		So(c.VMs[2].Runs.Load(), ShouldEqual, before)
+	})
+}
+
+func TestStoreAway(t *testing.T) {
+	Convey("While the store is silent a node starts from its peers, and follows the store afterwards", t, func() {
+		c := startStore(t)
+		c.Store.Fail(standin.Silent)
+		So(c.VMs[2].Node.Kill(), ShouldBeNil)
+		So(c.StartNode(c.VMs[2]), ShouldBeNil)
+		So(c.Ready(c.VMs[2]), ShouldBeNil)
+		served(c, c.VMs[2], http.MethodGet, "a.example", "/x/1", http.StatusOK)
+		served(c, c.VMs[0], http.MethodPost, "b.example", "/1", http.StatusOK)
+		c.Store.Fail(standin.Works)
+		c.Store.Put("op/config", storeConfig(9, "/y/"))
+		served(c, c.VMs[2], http.MethodGet, "a.example", "/y/1", http.StatusOK)
+	})
+}
+
+func TestStoreNodeStops(t *testing.T) {
+	Convey("A node goes on after SIGHUP, and SIGTERM under load loses no request", t, func() {
+		c := startStore(t)
+		vm := c.VMs[0]
+		c.Extra = "preset: bytes\n"
+		So(c.Reload(vm), ShouldBeNil)
+		So(vm.Node.Signal(syscall.SIGHUP), ShouldBeNil)
+		So(harness.Eventually("settings are taken over", func() error {
+			data, err := os.ReadFile(c.LogFile(vm))
+			if err == nil && !strings.Contains(string(data), "settings-changed") {
+				err = errors.New("not logged yet")
+			}
+			return err
+		}), ShouldBeNil)
+
+		var stopped atomic.Bool
+		var lost atomic.Int64
+		var load conc.WaitGroup
+		for worker := range 4 {
+			load.Go(func() {
+				for n := 0; !stopped.Load(); n++ {
+					resp, err := c.Send(vm, http.MethodPost, "b.example", "/1", fmt.Sprintf("w%d-%d", worker, n))
+					switch {
+					case err != nil && !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET):
+						lost.Add(1)
+					case err == nil && resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable:
+						lost.Add(1)
+					}
+				}
+			})
+		}
+		code, err := vm.Node.Terminate()
+		stopped.Store(true)
+		load.Wait()
+		So(err, ShouldBeNil)
+		So(code, ShouldEqual, 0)
+		So(lost.Load(), ShouldEqual, 0)
+	})
+}
--- a/node/cmd/auburnladder-node/store.go
+++ b/node/cmd/auburnladder-node/store.go
@@ -17,9 +17,11 @@
 		Timeout: cfg.Platform.Timeout.Std(),
 	})
 	decoder := &platform.Decoder{
-		PeerPort: cfg.Listen.Peer.Port(),
-		Regions:  cfg.Platform.Regions,
-		Grace:    cfg.Stop.Grace.Std(),
+		PeerPort:   cfg.Listen.Peer.Port(),
+		CallerPort: cfg.Listen.Caller.Port(),
+		AdminPort:  cfg.Listen.Admin.Port(),
+		Regions:    cfg.Platform.Regions,
+		Grace:      cfg.Stop.Grace.Std(),
 	}
 	return &node.StoreAdapter{Store: client, Decoder: decoder, Headers: platform.Headers()}
 }
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -179,7 +179,12 @@
 }
 
 func (f *Follower) watch() error {
-	changes, err := f.store.Watch(f.revision(), f.cfg.WatchWait)
+	wait := f.cfg.WatchWait
+	if f.failing.Load() {
+		// Whether the store answers again is to be known before the next change.
+		wait = 0
+	}
+	changes, err := f.store.Watch(f.revision(), wait)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/node/follow/follow_test.go
@@ -0,0 +1,325 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/source"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/command"
+	"auburnladder.example/node/state"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+)
+
+var errDown = errors.New("the store is down")
+
+// fakeStore is a store in memory whose answers a test controls.
+type fakeStore struct {
+	mu       sync.Mutex
+	items    map[string]source.Item
+	events   []source.Change
+	revision uint64
+	down     bool
+	lost     bool
+	lists    atomic.Int64
+	watches  atomic.Int64
+	changed  chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: make(map[string]source.Item), changed: make(chan struct{})}
+}
+
+func (s *fakeStore) change(do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.change(func() {
+		s.revision++
+		item := source.Item{Key: key, Value: []byte(value), Revision: s.revision}
+		s.items[key] = item
+		s.events = append(s.events, source.Change{Item: item})
+	})
+}
+
+func (s *fakeStore) List(string) (source.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists.Add(1)
+	if s.down {
+		return source.Page{}, errDown
+	}
+	p := source.Page{Revision: s.revision}
+	for _, i := range s.items {
+		p.Items = append(p.Items, i)
+	}
+	return p, nil
+}
+
+func (s *fakeStore) Watch(after uint64, wait time.Duration) (source.Changes, error) {
+	end := time.After(wait)
+	s.watches.Add(1)
+	for over := false; ; {
+		s.mu.Lock()
+		c := source.Changes{Revision: s.revision}
+		for _, e := range s.events {
+			if e.Revision > after {
+				c.Changes = append(c.Changes, e)
+			}
+		}
+		down, lost, changed := s.down, s.lost, s.changed
+		s.mu.Unlock()
+		switch {
+		case down:
+			return source.Changes{}, errDown
+		case lost:
+			s.change(func() { s.lost = false })
+			return source.Changes{}, source.ErrHistoryLost
+		case over || len(c.Changes) > 0:
+			return c, nil
+		}
+		select {
+		case <-end:
+			over = true
+		case <-changed:
+		}
+	}
+}
+
+// plainDecoder takes the key "config" for a release of one service named by its value,
+// and all other keys for VMs.
+type plainDecoder struct{}
+
+func (plainDecoder) Kind(key string) source.Kind {
+	if key == "config" {
+		return source.Release
+	}
+	return source.Server
+}
+
+func (plainDecoder) Release(value []byte) (*mesh.Published, error) {
+	if len(value) == 0 {
+		return nil, errors.New("no configuration")
+	}
+	return &mesh.Published{Sequence: uint64(value[0]), Services: []*mesh.Service{{
+		Name: "s", Server: mesh.Server{Connections: 1}, Stop: mesh.Stop{Method: mesh.StopNone, Grace: 1},
+	}}}, nil
+}
+
+func (plainDecoder) Server(key string, _ []byte) (source.ServerEntry, error) {
+	return source.ServerEntry{VM: vmlist.VM{ID: key, Service: "s", Peer: netip.MustParseAddrPort(key + ":1")}}, nil
+}
+
+// noPeers knows no other node.
+type noPeers struct{}
+
+func (noPeers) Get(context.Context, string, netip.AddrPort) (*session.Session, error) {
+	return nil, errDown
+}
+
+func (noPeers) Candidates() []netip.AddrPort { return nil }
+
+type rig struct {
+	*Follower
+	state *state.State
+	stop  func()
+}
+
+func follow(store Store, p Peers) *rig {
+	st := state.New(state.Identity{VM: "10.0.0.1"})
+	cmd := &command.Commander{State: st, Log: zerolog.Nop(), Now: time.Now}
+	f := New(DefaultConfig(), store, plainDecoder{}, p, cmd, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { f.Run(ctx) })
+	return &rig{Follower: f, state: st, stop: func() { cancel(); tasks.Wait() }}
+}
+
+func (r *rig) sequence() uint64 {
+	if s := r.state.Snapshot(); s != nil {
+		return s.Version.Sequence
+	}
+	return 0
+}
+
+func (r *rig) vms() []string {
+	var names []string
+	for _, vm := range r.state.Fleet().VMs {
+		names = append(names, vm.ID)
+	}
+	return names
+}
+
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node holds what the store holds, within milliseconds of each change", t, func() {
+			store := newFakeStore()
+			store.put("config", "\x01")
+			store.put("10.0.0.2", "")
+			r := follow(store, noPeers{})
+			defer r.stop()
+			time.Sleep(10 * time.Millisecond)
+			So(r.sequence(), ShouldEqual, 1)
+			So(r.vms(), ShouldResemble, []string{"10.0.0.2"})
+			store.put("config", "\x05")
+			store.put("10.0.0.3", "")
+			time.Sleep(20 * time.Millisecond)
+			So(r.sequence(), ShouldEqual, 5)
+			So(r.vms(), ShouldResemble, []string{"10.0.0.2", "10.0.0.3"})
+			So(store.lists.Load(), ShouldEqual, 1)
+		})
+		Convey("A configuration that can't be decoded, or an older one, changes nothing", t, func() {
+			store := newFakeStore()
+			store.put("config", "\x07")
+			r := follow(store, noPeers{})
+			defer r.stop()
+			time.Sleep(10 * time.Millisecond)
+			for _, value := range []string{"", "\x03"} {
+				store.put("config", value)
+				time.Sleep(20 * time.Millisecond)
+				So(r.sequence(), ShouldEqual, 7)
+			}
+		})
+		Convey("After a lost history all items are read anew", t, func() {
+			store := newFakeStore()
+			store.put("10.0.0.2", "")
+			r := follow(store, noPeers{})
+			defer r.stop()
+			time.Sleep(10 * time.Millisecond)
+			store.change(func() {
+				delete(store.items, "10.0.0.2")
+				store.revision += 5
+				store.events = nil
+				store.lost = true
+			})
+			time.Sleep(50 * time.Millisecond)
+			So(r.vms(), ShouldBeEmpty)
+			So(store.lists.Load(), ShouldEqual, 2)
+		})
+		Convey("Without an answer the calls become few, and what is held stays", t, func() {
+			store := newFakeStore()
+			store.put("config", "\x01")
+			r := follow(store, noPeers{})
+			defer r.stop()
+			time.Sleep(10 * time.Millisecond)
+			store.change(func() { store.down = true })
+			time.Sleep(10 * time.Second)
+			So(r.Failing(), ShouldBeTrue)
+			So(r.sequence(), ShouldEqual, 1)
+			before := store.watches.Load() + store.lists.Load()
+			time.Sleep(10 * time.Second)
+			So(store.watches.Load()+store.lists.Load()-before, ShouldBeBetween, 9, 21)
+			store.change(func() { store.down = false })
+			time.Sleep(2 * time.Second)
+			So(r.Failing(), ShouldBeFalse)
+		})
+		Convey("A quiet store costs one call for each wait", t, func() {
+			store := newFakeStore()
+			store.put("config", "\x01")
+			r := follow(store, noPeers{})
+			defer r.stop()
+			time.Sleep(20 * time.Second)
+			So(store.watches.Load(), ShouldBeBetween, 8, 12)
+		})
+	})
+}
+
+func TestCopies(t *testing.T) {
+	Convey("A copy carries every item, and damaged bytes are refused", t, func() {
+		items := []source.Item{{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Revision: 4}}
+		data := encodeItems(items)
+		got, err := decodeItems(data)
+		So(err, ShouldBeNil)
+		So(got, ShouldHaveLength, 2)
+		So(string(got[0].Value), ShouldEqual, "1")
+		So(got[1].Revision, ShouldEqual, 4)
+		for cut := range len(data) {
+			damaged := slices.Clone(data[:cut])
+			if got, err := decodeItems(damaged); err == nil {
+				So(len(got), ShouldBeLessThanOrEqualTo, 2)
+			}
+		}
+		_, err = decodeItems([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+		So(err, ShouldNotBeNil)
+	})
+	Convey("A peer gets a copy only if it is newer than its own", t, func() {
+		f := New(DefaultConfig(), newFakeStore(), plainDecoder{}, noPeers{}, &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}, zerolog.Nop())
+		f.replica.Replace(time.Now(), []source.Item{{Key: "10.0.0.2", Revision: 8}}, 9)
+		So(f.copyAfter(9).GetItems(), ShouldBeEmpty)
+		So(f.copyAfter(8).GetItems(), ShouldNotBeEmpty)
+		So(f.copyAfter(8).GetRevision(), ShouldEqual, 9)
+	})
+}
+
+// copyPeer is a peer that serves the copy of another follower over a pipe.
+type copyPeer struct {
+	from *Follower
+	addr netip.AddrPort
+	mu   sync.Mutex
+	ses  *session.Session
+}
+
+func (p *copyPeer) Candidates() []netip.AddrPort { return []netip.AddrPort{p.addr} }
+
+func (p *copyPeer) Get(context.Context, string, netip.AddrPort) (*session.Session, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ses, nil
+}
+
+func TestStartFromPeers(t *testing.T) {
+	Convey("A node that the store does not answer starts from a peer's copy and follows it", t, func() {
+		store := newFakeStore()
+		store.put("config", "\x04")
+		store.put("10.0.0.2", "")
+		first := follow(store, noPeers{})
+		near, far := loopback(t)
+		client, err := session.Client(near, session.DefaultConfig())
+		So(err, ShouldBeNil)
+		server, err := session.Server(far, session.DefaultConfig())
+		So(err, ShouldBeNil)
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			for {
+				st, err := server.Accept()
+				if err != nil {
+					return
+				}
+				var req peerpb.Request
+				if st.Recv(&req) == nil {
+					first.ServeStream(&req, st)
+				}
+				st.Close()
+			}
+		})
+		down := newFakeStore()
+		down.down = true
+		second := follow(down, &copyPeer{ses: client, addr: netip.MustParseAddrPort("10.0.0.9:1")})
+		eventually(t, func() bool { return second.sequence() == 4 && len(second.vms()) == 1 })
+		store.put("config", "\x06")
+		eventually(t, func() bool { return second.sequence() == 6 })
+		So(second.Failing(), ShouldBeTrue)
+		second.stop()
+		first.stop()
+		client.Close()
+		server.Close()
+		tasks.Wait()
+	})
+}
--- /dev/null
+++ b/node/proxy/ingress/listed_test.go
@@ -0,0 +1,145 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/wirenames"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var listedHeaders = wirenames.Headers{RequestID: "X-Id", Deadline: "X-Left", Target: "X-Target", Caller: "X-Caller"}
+
+// newListedFleet starts an ingress of a deployment with headers of its own, whose routes
+// name their hosts.
+func newListedFleet(t testing.TB, handlers ...handler) *fleet {
+	f := newFleet(t, handlers...)
+	service := func(name string, routes ...mesh.Route) *mesh.Service {
+		return &mesh.Service{
+			Name: name, Callers: []string{mesh.AnyCaller}, Priority: mesh.PriorityNormal,
+			Server:    mesh.Server{Connections: 10},
+			Stop:      mesh.Stop{Method: mesh.StopNone, Grace: 1000},
+			Resources: []mesh.Resource{{Name: "all", MaxRequestBytes: 1000, MaxResponseBytes: 1 << 20}},
+			Routes:    routes,
+		}
+	}
+	rank := 1
+	route := func(name, prefix string, idempotent bool, attempts int, split ...mesh.SplitPart) mesh.Route {
+		return mesh.Route{
+			Name: name, Methods: []string{mesh.AnyMethod}, Host: "programma.example", Prefix: prefix, Service: "programma",
+			Resource: "all", Idempotent: idempotent, Split: split, Retry: mesh.Retry{Attempts: attempts}, Deadline: 20_000, Rank: &rank,
+		}
+	}
+	snap, err := mesh.BuildPublished(nil, &mesh.Published{Sequence: 2, Services: []*mesh.Service{
+		service("programma",
+			route("read", "/read/", true, 2),
+			route("book", "/book/", false, 2),
+			route("split", "/split/", true, 1, mesh.SplitPart{Service: "programma", Weight: 90}, mesh.SplitPart{Service: "other", Weight: 10})),
+		service("other"),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.ingress.State.Install(snap, time.Now())
+	f.ingress.Headers = listedHeaders
+	f.ingress.Caller = "shop"
+	f.ingress.Router.Retry.FreeMoves = 4
+	f.ingress.Router.Refresh(time.Now())
+	return f
+}
+
+func TestMovesAfterRefusalsByNodes(t *testing.T) {
+	refuse := func(reached bool) handler {
+		return func(_ *link, call *peerpb.Call, st *session.Stream) {
+			_ = st.Send(&peerpb.Reply{
+				Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_NOT_RUN, Refusal: peerpb.Refusal_REFUSAL_OVERLOAD,
+				RetryAfterMs: 250, ReachedServer: reached,
+			})
+		}
+	}
+	Convey("Refusals by nodes cost no attempt: every server is tried", t, func() {
+		f := newListedFleet(t, refuse(false), refuse(false), refuse(false), refuse(false))
+		status, v := f.status("POST", "/book/1", "", "X-Id: a")
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(v, ShouldEqual, "not-run")
+		So(f.total(), ShouldEqual, 4)
+		f.close()
+	})
+	Convey("Refusals by servers count against the route's attempts", t, func() {
+		f := newListedFleet(t, refuse(true), refuse(true), refuse(true), refuse(true))
+		status, v := f.status("POST", "/book/1", "", "X-Id: a")
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(v, ShouldEqual, "not-run")
+		So(f.total(), ShouldEqual, 2)
+		f.close()
+	})
+	Convey("A refusal tells when to come back, in fractions of a second", t, func() {
+		f := newListedFleet(t, refuse(false))
+		f.status("POST", "/book/1", "", "X-Id: a")
+		resp, err := f.send("POST", "/book/1", "", "X-Id: b")
+		So(err, ShouldBeNil)
+		wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		So(err, ShouldBeNil)
+		So(wait, ShouldBeBetween, 0, 0.251)
+		_ = resp.Body.Close()
+		f.close()
+	})
+}
+
+func TestStatedDeadline(t *testing.T) {
+	Convey("The time that the caller waits bounds the request, and its own headers for nodes are dropped", t, func() {
+		f := newListedFleet(t, hang)
+		status, _ := f.status("GET", "/read/1", "", "X-Id: a", "X-Left: 80", "X-Target: forged", "X-Caller: forged")
+		So(status, ShouldEqual, http.StatusGatewayTimeout)
+		call := f.peers["vm0"].first()
+		So(call.GetRemainingUs(), ShouldBeLessThan, uint64(80*time.Millisecond/time.Microsecond))
+		So(call.GetCaller(), ShouldEqual, "shop")
+		So(call.GetRank(), ShouldEqual, 1)
+		for _, h := range call.GetHeaders() {
+			So(h.GetValue(), ShouldNotEqual, "forged")
+			So(h.GetName(), ShouldNotEqual, "X-Left")
+		}
+		f.close()
+	})
+}
+
+func TestSplit(t *testing.T) {
+	Convey("The parts of a split get their shares evenly, and a part without a server is refused", t, func() {
+		f := newListedFleet(t, answerOK)
+		counts := make(map[int]int)
+		for range 100 {
+			status, _ := f.status("GET", "/split/1", "", "X-Id: a")
+			counts[status]++
+		}
+		So(counts[http.StatusOK], ShouldBeBetween, 88, 92)
+		So(counts[http.StatusServiceUnavailable], ShouldEqual, 100-counts[http.StatusOK])
+		f.close()
+	})
+}
+
+func TestStop(t *testing.T) {
+	Convey("A stopping node serves and closes its connections, then refuses new requests as not run", t, func() {
+		var stopping, closed atomic.Bool
+		f := newListedFleet(t, answerOK)
+		f.ingress.Stopping, f.ingress.Closed = stopping.Load, closed.Load
+		stopping.Store(true)
+		resp, err := f.send("GET", "/read/1", "", "X-Id: a")
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+		So(resp.Close, ShouldBeTrue)
+		_ = resp.Body.Close()
+		closed.Store(true)
+		status, v := f.status("GET", "/read/1", "", "X-Id: b")
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(v, ShouldEqual, "not-run")
+		So(f.total(), ShouldEqual, 1)
+		So(f.ingress.Active(), ShouldEqual, 0)
+		f.close()
+	})
+}
