Keep the queue before an overloaded server short, ordered by latest start

Change: with the VM list's order, half a waiter a slot; a less urgent waiter gives way; a refusal holds a server for 100 ms at most.

--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -82,6 +82,10 @@
 // queue starts after about this many service times.
 const queuePerSlot = 2
 
+// slotsPerWaiter bounds the queue under OrderUrgency: a waiter more would keep no slot
+// busier, and make every request later that comes while all servers are full.
+const slotsPerWaiter = 2
+
 // ConfigFor returns the configuration for a backend server of a service. Waiters take
 // no connection, but the queue stays within the connections that the server allows
 // beyond its slots.
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -44,8 +44,6 @@
 	decision Decision
 	// startBy is the latest start that meets the objective.
 	startBy time.Time
-	// work is the order of magnitude of the service time.
-	work int
 	// flow is set by fairQueue.
 	flow *flow
 	// index and late are set by the queue's heaps.
@@ -103,12 +101,9 @@
 }
 
 func (l *Limiter) newWaiter(now time.Time, req Request) *Waiter {
-	w := &Waiter{req: req, giveUp: l.giveUp(now, req), done: make(chan struct{}), work: l.times.workClass(req.Route)}
-	w.startBy = req.Deadline
-	if !req.Objective.IsZero() {
-		w.startBy = req.Objective
-	}
-	w.startBy = w.startBy.Add(-l.times.estimate(req.Route))
+	w := newcomer(req, l.times)
+	w.giveUp = l.giveUp(now, req)
+	w.done = make(chan struct{})
 	return w
 }
 
@@ -122,7 +117,7 @@
 	if s.waiting() < l.queueLimit {
 		return true
 	}
-	victim := l.queue.evictFor(req)
+	victim := l.queue.evictFor(req, l.times)
 	if victim == nil {
 		return false
 	}
@@ -237,6 +232,9 @@
 // lower limit.
 func (l *Limiter) SetServer(now time.Time, server mesh.Server) {
 	cfg := ConfigFor(server)
+	if l.cfg.Order == OrderUrgency {
+		cfg.QueueLimit = max(1, cfg.Slots/slotsPerWaiter)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.queueLimit = cfg.QueueLimit
--- a/core/admission/servicetime.go
+++ b/core/admission/servicetime.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/bits"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,12 +68,6 @@
 	return max(float64(t.estimate(route)), minCost)
 }
 
-// workClass returns the power of two of a route's service time in milliseconds, so that
-// routes of about the same length compare as equal.
-func (t *serviceTimes) workClass(route string) int {
-	return bits.Len64(uint64(t.estimate(route) / time.Millisecond))
-}
-
 // tooLate reports whether req can't be done in its remaining time. When no sample came
 // for ProbeInterval, one request is let through to correct the estimate.
 func (t *serviceTimes) tooLate(now time.Time, req Request) bool {
--- a/core/admission/urgency.go
+++ b/core/admission/urgency.go
@@ -1,14 +1,13 @@
 package admission
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
 // urgencyQueue serves waiters by rank. Within a rank, those that can still meet their
-// objective go first, shorter work before longer and then in the order in which they
-// must start; then the late ones by deadline. Queues are short, so a sorted list does.
+// objective go first, in the order in which they must start; then the late ones by
+// deadline. Queues are short, so a sorted list does.
 type urgencyQueue struct {
 	waiters []*Waiter
 }
@@ -32,8 +31,6 @@
 		return -1
 	case a.late:
 		return a.req.Deadline.Compare(b.req.Deadline)
-	case a.work != b.work:
-		return cmp.Compare(a.work, b.work)
 	default:
 		return a.startBy.Compare(b.startBy)
 	}
@@ -59,13 +56,13 @@
 	}
 }
 
-// evictFor displaces the least urgent waiter if its rank is below that of req.
-func (q *urgencyQueue) evictFor(req Request) *Waiter {
+// evictFor displaces the waiter that would be served last, if req goes before it.
+func (q *urgencyQueue) evictFor(req Request, times *serviceTimes) *Waiter {
 	if len(q.waiters) == 0 {
 		return nil
 	}
 	last := q.waiters[len(q.waiters)-1]
-	if last.req.Rank <= req.Rank && !last.late {
+	if compareUrgency(newcomer(req, times), last) >= 0 {
 		return nil
 	}
 	q.waiters = q.waiters[:len(q.waiters)-1]
@@ -73,11 +70,7 @@
 }
 
 func (q *urgencyQueue) workAhead(req Request, times *serviceTimes) time.Duration {
-	at := req.Objective
-	if at.IsZero() {
-		at = req.Deadline
-	}
-	self := &Waiter{req: req, startBy: at.Add(-times.estimate(req.Route)), work: times.workClass(req.Route)}
+	self := newcomer(req, times)
 	work := time.Duration(times.cost(req.Route))
 	for _, w := range q.waiters {
 		if compareUrgency(self, w) < 0 {
@@ -87,3 +80,12 @@
 	}
 	return work
 }
+
+// newcomer returns req as a waiter that is in no queue yet.
+func newcomer(req Request, times *serviceTimes) *Waiter {
+	at := req.Objective
+	if at.IsZero() {
+		at = req.Deadline
+	}
+	return &Waiter{req: req, startBy: at.Add(-times.estimate(req.Route))}
+}
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -270,7 +270,6 @@
 
 // copyPeer is a peer that serves the copy of another follower over a pipe.
 type copyPeer struct {
-	from *Follower
 	addr netip.AddrPort
 	mu   sync.Mutex
 	ses  *session.Session
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -21,6 +21,9 @@
 	// serverDownHold is how long a server is left alone that its node can't reach
 	// or that has only started, if the node gives no time.
 	serverDownHold = 500 * time.Millisecond
+	// overloadHold bounds how long a server is left alone that refused for overload, if
+	// waiting requests are ordered by urgency.
+	overloadHold = 100 * time.Millisecond
 	// replyMargin is how much sooner than the caller's node the server's node gives up,
 	// so that its refusal still arrives.
 	replyMargin = 5 * time.Millisecond
@@ -181,6 +184,12 @@
 	switch refusal {
 	case peerpb.Refusal_REFUSAL_OVERLOAD:
 		a.outcome.Kind = routing.Refused
+		a.call.noteWait(a.outcome.RetryAfter)
+		if a.call.ingress.Headers.Deadline != "" {
+			// The refusal is about this request's place in the queue: the server may soon
+			// take a more urgent one.
+			a.outcome.RetryAfter = min(a.outcome.RetryAfter, overloadHold)
+		}
 	case peerpb.Refusal_REFUSAL_LEAVING:
 		a.outcome.Kind = routing.Refused
 		a.outcome.Load = &routing.Load{Leaving: true}
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -80,7 +80,7 @@
 	for {
 		picked := c.ingress.Router.Picker.Pick(time.Now(), randomSource{}, table, c.tried)
 		if picked.Endpoint == nil {
-			c.wait = picked.Wait
+			c.noteWait(picked.Wait)
 			return c.conclude(last, retry.Decision{Reason: retry.NoServer})
 		}
 		if last != nil {
@@ -101,6 +101,13 @@
 	}
 }
 
+// noteWait keeps the shortest time after which a server may have room.
+func (c *call) noteWait(d time.Duration) {
+	if d > 0 && (c.wait == 0 || d < c.wait) {
+		c.wait = d
+	}
+}
+
 // logRetry records that another attempt follows a.
 func (c *call) logRetry(a *attempt) {
 	c.describe(c.ingress.Decisions.Notable("request-retried")).Err(a.err).Str("server", a.endpoint.VM).
