--- a/node/cmd/auburnladder-node/logs.go
+++ b/node/cmd/auburnladder-node/logs.go
@@ -30,6 +30,8 @@
 	buffered.timer = time.AfterFunc(logInterval, buffered.flush)
 	lines := diode.NewWriter(buffered, logLines, logInterval, func(missed int) { lostLines.Add(int64(missed)) })
 	return lines, func() {
+		// The buffer drops what its poller has not taken by the time it is closed.
+		time.Sleep(2 * logInterval)
 		_ = lines.Close()
 		buffered.flush()
 	}
--- a/node/stopper.go
+++ b/node/stopper.go
@@ -10,6 +10,10 @@
 // in flight, so that their connections are closed in order.
 const stopMargin = 300 * time.Millisecond
 
+// answersWait bounds the wait for peers to read the last answers: several round trips
+// and the reading of the largest.
+const answersWait = 500 * time.Millisecond
+
 // stopPoll is the time between two looks for requests in flight.
 const stopPoll = 20 * time.Millisecond
 
@@ -64,21 +68,23 @@
 		return false
 	}
 	s.closed.Store(true)
-	if !s.await(ctx, func() bool { return s.inFlight() == 0 }) {
+	if !s.await(ctx, s.end(), func() bool { return s.inFlight() == 0 }) {
 		return false
 	}
 	n.stopCallers()
-	// Answers that peers have not read in full yet are still on their streams.
-	if !s.await(ctx, func() bool { return n.peers.Streams() == 0 }) {
+	// Answers that peers have not read in full yet are still on their streams. Streams to a
+	// node that has died stay open longer.
+	if !s.await(ctx, time.Now().Add(answersWait), func() bool { return n.peers.Streams() == 0 }) {
 		return false
 	}
 	n.log.Info().Str("event", "drained").Int64("in_flight", s.inFlight()).Msg("node takes no new calls")
 	return true
 }
 
-// await waits until done or the end of the stop. It returns false if ctx ended first.
-func (s *stopper) await(ctx context.Context, done func() bool) bool {
-	for !done() && time.Now().Before(s.end()) {
+// await waits until done, the given time or the end of the stop. It returns false if ctx
+// ended first.
+func (s *stopper) await(ctx context.Context, until time.Time, done func() bool) bool {
+	for !done() && time.Now().Before(until) && time.Now().Before(s.end()) {
 		if !pause(ctx, stopPoll) {
 			return false
 		}
