Let every route find room in a full queue; weigh bytes between domains

The queue gave way by latest start only, so requests with much time never got in; TestOverloadServesInTime with such a route failed first (0 of 49 served). Change: a full queue gives way to a route with fewer waiters; the slack counts up to 200 ms.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -42,6 +42,7 @@
 	giveUp   time.Time
 	done     chan struct{}
 	decision Decision
+	arrived  time.Time
 	// startBy is the latest start that meets the objective.
 	startBy time.Time
 	// flow is set by fairQueue.
@@ -101,7 +102,7 @@
 }
 
 func (l *Limiter) newWaiter(now time.Time, req Request) *Waiter {
-	w := newcomer(req, l.times)
+	w := newcomer(now, req, l.times)
 	w.giveUp = l.giveUp(now, req)
 	w.done = make(chan struct{})
 	return w
@@ -110,14 +111,14 @@
 // makeRoom reports whether req may join the queue, at the cost of a waiter of the
 // caller that takes the largest share if the queue is full.
 func (l *Limiter) makeRoom(now time.Time, s state, req Request) bool {
-	start := now.Add(l.expectedWait(s, req))
+	start := now.Add(l.expectedWait(now, s, req))
 	if start.After(l.giveUp(now, req)) || start.Add(l.times.estimate(req.Route)).After(l.usefulUntil(now, req)) {
 		return false
 	}
 	if s.waiting() < l.queueLimit {
 		return true
 	}
-	victim := l.queue.evictFor(req, l.times)
+	victim := l.queue.evictFor(req)
 	if victim == nil {
 		return false
 	}
@@ -145,8 +146,8 @@
 }
 
 // expectedWait estimates how long req would wait in the queue.
-func (l *Limiter) expectedWait(s state, req Request) time.Duration {
-	return l.queue.workAhead(req, l.times) / time.Duration(max(s.limit(), 1))
+func (l *Limiter) expectedWait(now time.Time, s state, req Request) time.Duration {
+	return l.queue.workAhead(now, req, l.times) / time.Duration(max(s.limit(), 1))
 }
 
 // Release ends the work in a slot and gives the slot to the next waiter.
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -19,9 +19,9 @@
 	remove(w *Waiter)
 	// evictFor removes and returns the waiter that req displaces from a full queue, or
 	// returns nil if req itself must stay out.
-	evictFor(req Request, times *serviceTimes) *Waiter
+	evictFor(req Request) *Waiter
 	// workAhead estimates the service time of the waiters served before req.
-	workAhead(req Request, times *serviceTimes) time.Duration
+	workAhead(now time.Time, req Request, times *serviceTimes) time.Duration
 }
 
 func newWaitQueue(o Order) waitQueue {
@@ -149,7 +149,7 @@
 // one with the latest deadline in the flow with the largest share. It returns nil if
 // the caller of req would itself have the largest share. The only waiter of a flow
 // gives way to a higher priority alone, and only if no flow has two.
-func (q *fairQueue) evictFor(req Request, _ *serviceTimes) *Waiter {
+func (q *fairQueue) evictFor(req Request) *Waiter {
 	waiters, w := 1, weight(req.Priority)
 	if f := q.flows[flowKey{caller: req.Caller, priority: req.Priority}]; f != nil {
 		waiters += len(f.waiters)
@@ -191,7 +191,7 @@
 }
 
 // workAhead estimates the service time of the waiters served before req.
-func (q *fairQueue) workAhead(req Request, times *serviceTimes) time.Duration {
+func (q *fairQueue) workAhead(_ time.Time, req Request, times *serviceTimes) time.Duration {
 	return time.Duration(q.ahead(req) * float64(times.typical()))
 }
 
--- a/core/admission/urgency.go
+++ b/core/admission/urgency.go
@@ -9,6 +9,11 @@
 // step instead of strict ranks, no kind is starved by a lasting overload of higher ranks.
 const rankStep = 100 * time.Millisecond
 
+// maxSlack bounds how much later a request counts as having to start because its
+// objective leaves it time. Without the bound, requests with much time would never get
+// into a queue that others keep full.
+const maxSlack = 200 * time.Millisecond
+
 // urgencyQueue serves waiters that can still meet their objective first, in the order in
 // which they must start, where a lower rank counts as later; then the late ones by
 // deadline. Queues are short, so a sorted list does.
@@ -38,9 +43,13 @@
 	}
 }
 
-// order returns the latest start, moved by the rank.
+// order returns the latest start, at most maxSlack after the arrival, moved by the rank.
 func (w *Waiter) order() time.Time {
-	return w.startBy.Add(time.Duration(w.req.Rank) * rankStep)
+	start := w.startBy
+	if latest := w.arrived.Add(maxSlack); start.After(latest) {
+		start = latest
+	}
+	return start.Add(time.Duration(w.req.Rank) * rankStep)
 }
 
 // pop moves waiters that have become late behind the others first.
@@ -63,21 +72,33 @@
 	}
 }
 
-// evictFor displaces the waiter that would be served last, if req goes before it.
-func (q *urgencyQueue) evictFor(req Request, times *serviceTimes) *Waiter {
-	if len(q.waiters) == 0 {
-		return nil
+// evictFor displaces the last waiter of the route with the most waiters, if req belongs to
+// a route with fewer. So a route with few requests always finds room, and the others share
+// what is left.
+func (q *urgencyQueue) evictFor(req Request) *Waiter {
+	own := 1
+	waiting := make(map[string]int, len(q.waiters))
+	for _, w := range q.waiters {
+		waiting[w.req.Route]++
+		if w.req.Route == req.Route {
+			own++
+		}
+	}
+	var victim *Waiter
+	for _, w := range q.waiters {
+		if victim == nil || waiting[w.req.Route] >= waiting[victim.req.Route] {
+			victim = w
+		}
 	}
-	last := q.waiters[len(q.waiters)-1]
-	if compareUrgency(newcomer(req, times), last) >= 0 {
+	if victim == nil || waiting[victim.req.Route] <= own {
 		return nil
 	}
-	q.waiters = q.waiters[:len(q.waiters)-1]
-	return last
+	q.remove(victim)
+	return victim
 }
 
-func (q *urgencyQueue) workAhead(req Request, times *serviceTimes) time.Duration {
-	self := newcomer(req, times)
+func (q *urgencyQueue) workAhead(now time.Time, req Request, times *serviceTimes) time.Duration {
+	self := newcomer(now, req, times)
 	work := time.Duration(times.cost(req.Route))
 	for _, w := range q.waiters {
 		if compareUrgency(self, w) < 0 {
@@ -89,10 +110,10 @@
 }
 
 // newcomer returns req as a waiter that is in no queue yet.
-func newcomer(req Request, times *serviceTimes) *Waiter {
+func newcomer(now time.Time, req Request, times *serviceTimes) *Waiter {
 	at := req.Objective
 	if at.IsZero() {
 		at = req.Deadline
 	}
-	return &Waiter{req: req, startBy: at.Add(-times.estimate(req.Route))}
+	return &Waiter{req: req, arrived: now, startBy: at.Add(-times.estimate(req.Route))}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,7 @@
 	if n.tls, err = newPeerTLS(cfg, log); err != nil {
 		return nil, err
 	}
-	n.router = ingress.NewRouter(st, cfg.Routing.Policy, log)
+	n.router = ingress.NewRouter(st, cfg.Routing, log)
 	n.router.Journal = reader.Journal
 	reader.Tables = n.router
 	n.egress = egress.New(st, cfg.Server.Address, n.egressConfig(), log)
--- a/node/proxy/ingress/router.go
+++ b/node/proxy/ingress/router.go
@@ -57,14 +57,16 @@
 	Record(e statusapi.JournalEntry)
 }
 
-// NewRouter returns a router that follows st and chooses servers by policy.
-func NewRouter(st *state.State, policy settings.RoutingPolicy, log zerolog.Logger) *Router {
+// NewRouter returns a router that follows st and chooses servers as cfg says.
+func NewRouter(st *state.State, cfg settings.Routing, log zerolog.Logger) *Router {
+	weights := routing.DefaultConfig()
+	weights.DomainCost = cfg.DomainCost
 	place := routing.Place{Domain: st.Identity.Domain, Region: st.Identity.Region}
 	r := &Router{
-		Picker:    picker(policy),
+		Picker:    picker(cfg.Policy),
 		Retry:     retry.DefaultConfig(),
 		state:     st,
-		directory: routing.NewDirectory(routing.DefaultConfig(), place),
+		directory: routing.NewDirectory(weights, place),
 		log:       log,
 	}
 	r.applied.Store(&applied{})
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"auburnladder.example/core/release"
+	"auburnladder.example/core/routing"
 	"auburnladder.example/core/yamlcheck"
 )
 
@@ -203,15 +204,23 @@
 // Routing says how backend servers are chosen.
 type Routing struct {
 	Policy RoutingPolicy `yaml:"policy"`
+	// DomainCost is added to the load of a server in another failure domain of the own
+	// region, as a share of its limit. Higher saves bytes between domains, lower levels
+	// the load sooner.
+	DomainCost float64 `yaml:"domain_cost"`
 }
 
-// Validate checks the policy.
+// Validate checks the policy and the cost.
 func (r *Routing) Validate() []yamlcheck.Problem {
+	var problems []yamlcheck.Problem
+	if r.DomainCost < 0 {
+		problems = append(problems, yamlcheck.Problem{Field: "domain_cost", Found: fmt.Sprint(r.DomainCost), Expected: "0 or more"})
+	}
 	switch r.Policy {
 	case PolicyP2C, PolicyRandom, PolicyRoundRobin:
-		return nil
+		return problems
 	}
-	return []yamlcheck.Problem{{Field: "policy", Found: string(r.Policy), Expected: "p2c, random or round-robin"}}
+	return append(problems, yamlcheck.Problem{Field: "policy", Found: string(r.Policy), Expected: "p2c, random or round-robin"})
 }
 
 // LogFormat is how log lines are written.
@@ -280,7 +289,7 @@
 		Stop:     Stop{Grace: yamlcheck.Duration(defaultStopGrace), Unready: yamlcheck.Duration(defaultStopUnready)},
 		PeerTLS:  PeerTLS{Reload: yamlcheck.Duration(defaultPeerTLSReload)},
 		Preset:   PresetConvergence,
-		Routing:  Routing{Policy: PolicyP2C},
+		Routing: Routing{Policy: PolicyP2C, DomainCost: routing.DefaultConfig().DomainCost},
 		Log:      Log{Level: "info", Format: LogJSON},
 		Trace:    Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
 	}
--- a/node/settings/template.go
+++ b/node/settings/template.go
@@ -7,7 +7,7 @@
 func Template() string {
 	d := Default()
 	return fmt.Sprintf(template,
-		d.Platform.Timeout, d.Platform.Wait, d.Platform.FleetSize, d.PeerTLS.Reload, d.Preset, d.Routing.Policy, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
+		d.Platform.Timeout, d.Platform.Wait, d.Platform.FleetSize, d.PeerTLS.Reload, d.Preset, d.Routing.Policy, d.Routing.DomainCost, d.Log.Level, d.Log.Format, d.Trace.Exporter, d.Trace.SampleRatio)
 }
 
 const template = `# Settings of one auburnladder-node. Values under "required" have no default.
@@ -71,6 +71,9 @@
 routing:
   # p2c; random and round-robin ignore load and distance and serve measurements.
   policy: %s
+  # Added to the load of a server in another failure domain, as a share of its limit.
+  # Higher saves bytes between domains, lower levels the load sooner.
+  domain_cost: %v
 
 log:
   level: %s   # debug, info, warn, error
