--- a/core/admission/urgency_test.go
+++ b/core/admission/urgency_test.go
@@ -154,9 +154,9 @@
 		push("a", 60)
 		last := push("a", 140)
 		push("b", 190)
-		So(q.evictFor(Request{Route: "a", Rank: 0, Objective: at(10), Deadline: at(1000)}, times), ShouldBeNil)
-		So(q.evictFor(Request{Route: "b", Rank: 0, Objective: at(10), Deadline: at(1000)}, times), ShouldBeNil)
-		So(q.evictFor(Request{Route: "c", Rank: 9, Objective: at(900), Deadline: at(1000)}, times) == last, ShouldBeTrue)
-		So(q.evictFor(Request{Route: "c", Rank: 0, Objective: at(10), Deadline: at(1000)}, times), ShouldBeNil)
+		So(q.evictFor(Request{Route: "a", Rank: 0, Objective: at(10), Deadline: at(1000)}), ShouldBeNil)
+		So(q.evictFor(Request{Route: "b", Rank: 0, Objective: at(10), Deadline: at(1000)}), ShouldBeNil)
+		So(q.evictFor(Request{Route: "c", Rank: 9, Objective: at(900), Deadline: at(1000)}) == last, ShouldBeTrue)
+		So(q.evictFor(Request{Route: "c", Rank: 0, Objective: at(10), Deadline: at(1000)}), ShouldBeNil)
 	})
 }
