Keep the platform's names of the test cluster in the platform's stand-in

Cause: e2e/harness named headers, keys and settings of the platform. They are in platform/standin now (server, configuration, rendering of the template); TestStore* pass.

--- a/e2e/harness/store.go
+++ b/e2e/harness/store.go
@@ -11,10 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
-	"strings"
-	"sync/atomic"
-	"time"
 
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/platform/standin"
@@ -26,6 +22,10 @@
 	storeCallerPort = 7101
 	storeAdminPort  = 7102
 	storeServerPort = 7103
+	// storeSlots is the number of requests that a server works on at once.
+	storeSlots = 4
+	// storeMetricsPort is the one that the deployment names.
+	storeMetricsPort = 9102
 )
 
 // StoreVM is a VM whose node runs from the platform's settings.
@@ -33,8 +33,8 @@
 	IP      string
 	Service string
 	Node    *Process
-	// Runs counts the requests that the VM's backend server ran.
-	Runs   atomic.Int64
+	// Server is the VM's backend server.
+	Server *standin.Server
 	server *http.Server
 }
 
@@ -87,52 +87,33 @@
 
 // startServer starts a backend server that answers as the platform's do, and lists it.
 func (c *StoreCluster) startServer(vm *StoreVM, index int) error {
-	instance := fmt.Sprintf("i-%d", index)
-	l, err := net.Listen("tcp", vm.Address(storeServerPort))
+	vm.Server = &standin.Server{
+		Service: vm.Service, Instance: fmt.Sprintf("i-%d", index), Born: int64(index + 1),
+		Slots: storeSlots, Address: vm.Address(storeServerPort), Work: serverWork,
+	}
+	l, err := net.Listen("tcp", vm.Server.Address)
 	if err != nil {
 		return err
 	}
-	vm.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if target := r.Header.Get("X-Target-Instance"); target != instance {
-			w.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
-		vm.Runs.Add(1)
-		time.Sleep(serverWork)
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		w.Header().Set("X-Server-Seal", "seal of "+instance)
-		fmt.Fprintf(w, "%s for %s", vm.Service, r.Header.Get("X-Caller-Service"))
-	})}
+	vm.server = &http.Server{Handler: vm.Server}
 	go func() { _ = vm.server.Serve(l) }()
-	c.List(vm, index, "ready")
+	c.Store.List(vm.Server, false)
 	return nil
 }
 
-// List writes the entry of a VM's server to the store.
-func (c *StoreCluster) List(vm *StoreVM, index int, state string) {
-	entry := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"zone":"z","slots":4},"status":{"state":%q,"sequence":1}}`,
-		vm.Address(storeServerPort), index+1, vm.Service, state)
-	c.Store.Put(fmt.Sprintf("servers/i-%d", index), []byte(entry))
-}
-
-var placeholder = regexp.MustCompile(`\{\{[^}]*\}\}`)
-
 // writeSettings renders the template of the deployment.
 func (c *StoreCluster) writeSettings(vm *StoreVM) error {
 	template, err := os.ReadFile(filepath.Join(c.root, "deploy/node.yaml"))
 	if err != nil {
 		return err
 	}
-	seeds := `"` + c.VMs[0].Address(storePeerPort) + `"`
-	text := regexp.MustCompile(`\{\{#seeds\}\}.*\{\{/seeds\}\}`).ReplaceAllString(string(template), seeds)
-	values := map[string]string{
-		"ip": vm.IP, "service": vm.Service, "zone": "z", "region": "r", "zones|json": `{"z": "r"}`,
-		"listen.control": vm.Address(storePeerPort), "listen.outbound": vm.Address(storeCallerPort),
-		"listen.ready": vm.Address(storeAdminPort), "appAddr": vm.Address(storeServerPort),
-		"platform.address": c.http.Listener.Addr().String(), "platform.readsPerS": "2000",
-		"bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "50", "bounds.budgetWindow": "10s", "bounds.grace": "6s",
-	}
-	text = placeholder.ReplaceAllStringFunc(text, func(p string) string { return values[strings.Trim(p, "{}")] })
+	text := standin.Render(string(template), standin.Settings{
+		IP: vm.IP, Service: vm.Service,
+		Peer: vm.Address(storePeerPort), Caller: vm.Address(storeCallerPort), Admin: vm.Address(storeAdminPort),
+		Server: vm.Address(storeServerPort), Store: c.http.Listener.Addr().String(),
+		Seeds:      []string{c.VMs[0].Address(storePeerPort)},
+		RetryRatio: "0.2", RetrySlack: "50", Grace: "6s",
+	})
 	return os.WriteFile(c.SettingsFile(vm), []byte(text+c.Extra), 0o600)
 }
 
@@ -162,7 +143,7 @@
 // Ready waits until a VM's node answers the platform's question with 200.
 func (c *StoreCluster) Ready(vm *StoreVM) error {
 	return Eventually(vm.IP+" is ready", func() error {
-		return getOK("http://" + vm.Address(storeAdminPort) + "/-/ready")
+		return getOK("http://" + vm.Address(storeAdminPort) + standin.ReadyPath)
 	})
 }
 
@@ -173,7 +154,7 @@
 
 // Metrics returns an error unless the VM's node serves metrics.
 func (c *StoreCluster) Metrics(vm *StoreVM) error {
-	return getOK("http://" + vm.Address(9102) + "/metrics")
+	return getOK("http://" + vm.Address(storeMetricsPort) + "/metrics")
 }
 
 func getOK(url string) error {
@@ -204,8 +185,8 @@
 		return nil, err
 	}
 	req.Host = host
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Request-Deadline-Ms", "5000")
+	req.Header.Set(standin.RequestIDHeader, id)
+	req.Header.Set(standin.DeadlineHeader, "5000")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/e2e/store_test.go
+++ b/e2e/store_test.go
@@ -18,14 +18,6 @@
 	"auburnladder.example/platform/standin"
 )
 
-// storeConfig is a configuration of the platform with routes to two services.
-func storeConfig(version int, prefix string) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":{"columns":["name","host","prefix","kind","timeout","targetLatency","priority","service","maxAttempts"],
-"rows":[["read","a.example","%s","safe","4000ms","500ms",2,"a",2],["book","b.example","/","unsafe","4000ms","600ms",1,"b",2]]},
-"services":{"columns":["name","maxConns"],"rows":[["a",20],["b",20]]},
-"limits":{"headerBytes":16384,"bodyBytes":1048576,"header":"3000ms","idle":"15000ms"}}`, version, prefix)
-}
-
 func startStore(t *testing.T) *harness.StoreCluster {
 	dir, err := os.MkdirTemp("", "auburnladder-store-")
 	So(err, ShouldBeNil)
@@ -41,7 +33,7 @@
 		_ = os.RemoveAll(dir)
 	})
 	So(err, ShouldBeNil)
-	c.Store.Put("op/config", storeConfig(3, "/x/"))
+	c.Store.Publish(3, "/x/", "a", "b")
 	for _, vm := range c.VMs {
 		So(c.Ready(vm), ShouldBeNil)
 	}
@@ -66,29 +58,29 @@
 	Convey("Nodes with the platform's settings serve, are read by operators, and follow the store", t, func() {
 		c := startStore(t)
 		for _, vm := range c.VMs {
-			served(c, vm, http.MethodGet, "a.example", "/x/1", http.StatusOK)
-			served(c, vm, http.MethodPost, "b.example", "/1", http.StatusOK)
-			served(c, vm, http.MethodGet, "a.example", "/y/1", http.StatusNotFound)
+			served(c, vm, http.MethodGet, standin.ReadHost, "/x/1", http.StatusOK)
+			served(c, vm, http.MethodPost, standin.BookHost, "/1", http.StatusOK)
+			served(c, vm, http.MethodGet, standin.ReadHost, "/y/1", http.StatusNotFound)
 			So(c.ReadyStatus(vm), ShouldBeNil)
 			So(c.Metrics(vm), ShouldBeNil)
 		}
 		out, err := c.CLI(c.VMs[1], "status", "--output", "json")
 		So(err, ShouldBeNil)
 		So(string(out), ShouldContainSubstring, `"in_force": 3`)
-		out, err = c.CLI(c.VMs[1], "explain", "GET", "http://a.example/x/1")
+		out, err = c.CLI(c.VMs[1], "explain", "GET", "http://"+standin.ReadHost+"/x/1")
 		So(err, ShouldBeNil)
 		So(string(out), ShouldContainSubstring, "read")
 
-		c.Store.Put("op/config", []byte(`{"version":4,"routes":{}}`))
-		c.Store.Put("op/config", storeConfig(9, "/y/"))
-		served(c, c.VMs[0], http.MethodGet, "a.example", "/y/1", http.StatusOK)
-		served(c, c.VMs[0], http.MethodGet, "a.example", "/x/1", http.StatusNotFound)
+		c.Store.PublishPart(4)
+		c.Store.Publish(9, "/y/", "a", "b")
+		served(c, c.VMs[0], http.MethodGet, standin.ReadHost, "/y/1", http.StatusOK)
+		served(c, c.VMs[0], http.MethodGet, standin.ReadHost, "/x/1", http.StatusNotFound)
 
-		c.List(c.VMs[2], 2, "draining")
-		served(c, c.VMs[0], http.MethodPost, "b.example", "/1", http.StatusServiceUnavailable)
-		before := c.VMs[2].Runs.Load()
-		served(c, c.VMs[0], http.MethodPost, "b.example", "/1", http.StatusServiceUnavailable)
-		So(c.VMs[2].Runs.Load(), ShouldEqual, before)
+		c.Store.List(c.VMs[2].Server, true)
+		served(c, c.VMs[0], http.MethodPost, standin.BookHost, "/1", http.StatusServiceUnavailable)
+		before := c.VMs[2].Server.Runs.Load()
+		served(c, c.VMs[0], http.MethodPost, standin.BookHost, "/1", http.StatusServiceUnavailable)
+		So(c.VMs[2].Server.Runs.Load(), ShouldEqual, before)
 	})
 }
 
@@ -99,11 +91,11 @@
 		So(c.VMs[2].Node.Kill(), ShouldBeNil)
 		So(c.StartNode(c.VMs[2]), ShouldBeNil)
 		So(c.Ready(c.VMs[2]), ShouldBeNil)
-		served(c, c.VMs[2], http.MethodGet, "a.example", "/x/1", http.StatusOK)
-		served(c, c.VMs[0], http.MethodPost, "b.example", "/1", http.StatusOK)
+		served(c, c.VMs[2], http.MethodGet, standin.ReadHost, "/x/1", http.StatusOK)
+		served(c, c.VMs[0], http.MethodPost, standin.BookHost, "/1", http.StatusOK)
 		c.Store.Fail(standin.Works)
-		c.Store.Put("op/config", storeConfig(9, "/y/"))
-		served(c, c.VMs[2], http.MethodGet, "a.example", "/y/1", http.StatusOK)
+		c.Store.Publish(9, "/y/", "a", "b")
+		served(c, c.VMs[2], http.MethodGet, standin.ReadHost, "/y/1", http.StatusOK)
 	})
 }
 
@@ -128,7 +120,7 @@
 		for worker := range 4 {
 			load.Go(func() {
 				for n := 0; !stopped.Load(); n++ {
-					resp, err := c.Send(vm, http.MethodPost, "b.example", "/1", fmt.Sprintf("w%d-%d", worker, n))
+					resp, err := c.Send(vm, http.MethodPost, standin.BookHost, "/1", fmt.Sprintf("w%d-%d", worker, n))
 					switch {
 					case err != nil && !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET):
 						lost.Add(1)
