Wait for open calls of the store where a follower's end is tested

A watch that was open at the end outlives Run by design and still waited in virtual time; whether one was open depended on the schedule. Ruled out: the follower itself (Run had returned). Change: the follower counts its open calls, and the tests wait for them. A count in the fake store raced with calls that had only been started (failed try).

--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -75,6 +75,8 @@
 	log     zerolog.Logger
 	// failing is set while the store does not answer this node.
 	failing atomic.Bool
+	// calls are the open calls of the store, which may outlive Run.
+	calls conc.WaitGroup
 
 	mu      sync.Mutex
 	replica *source.Replica
@@ -114,7 +116,7 @@
 		if complete {
 			next = f.watch
 		}
-		err := unlessDone(ctx, next)
+		err := f.unlessDone(ctx, next)
 		if errors.Is(err, source.ErrHistoryLost) {
 			f.log.Warn().Str("event", "history-lost").Uint64("revision", f.revision()).Msg("store dropped its history; reading all items")
 			complete = false
@@ -134,9 +136,9 @@
 
 // unlessDone returns the result of call, or the error of ctx if that ends first. The
 // call then goes on until its own timeout.
-func unlessDone(ctx context.Context, call func() error) error {
+func (f *Follower) unlessDone(ctx context.Context, call func() error) error {
 	result := make(chan error, 1)
-	go func() { result <- call() }()
+	f.calls.Go(func() { result <- call() })
 	select {
 	case err := <-result:
 		return err
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	tasks.Go(func() { f.Run(ctx) })
-	return &rig{Follower: f, state: st, stop: func() { cancel(); tasks.Wait() }}
+	return &rig{Follower: f, state: st, stop: func() { cancel(); tasks.Wait(); f.calls.Wait() }}
 }
 
 func (r *rig) sequence() uint64 {
