--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -47,9 +47,10 @@
 	startBy time.Time
 	// flow is set by fairQueue.
 	flow *flow
-	// index and late are set by the queue's heaps.
+	// index is set by the heaps of fairQueue.
 	index int
-	late  bool
+	// late is set by urgencyQueue once startBy has passed.
+	late bool
 }
 
 // GiveUp returns when to call Abandon if no decision was made by then.
--- a/core/wirenames/headers.go
+++ b/core/wirenames/headers.go
@@ -12,10 +12,6 @@
 	Seal string
 	// Target names the run of the server that a request is meant for.
 	Target string
-	// Instance names the run of the server that answered.
-	Instance string
-	// Load is the server's load: running, waiting and slots, separated by commas.
-	Load string
 	// NotExecuted in an answer says that the server did not run the request.
 	NotExecuted string
 	// Caller names the service beside the node where the request entered.
--- a/node/proxy/egress/listed_test.go
+++ b/node/proxy/egress/listed_test.go
@@ -17,7 +17,7 @@
 
 var listedHeaders = wirenames.Headers{
 	RequestID: "X-Id", Deadline: "X-Left", Seal: "X-Seal", Target: "X-Target",
-	Instance: "X-Instance", NotExecuted: "X-Not-Run", Caller: "X-Caller",
+	NotExecuted: "X-Not-Run", Caller: "X-Caller",
 }
 
 // newListedRig returns an egress whose server the VM list names, with changes to its entry.
