Merge what a peer is known to hold as a maximum

Ruled out: the platform's stale value (allowed), the start bound (10 s, not reached), a lost message (loss 0). Change: versions of a peer are merged as a maximum; only an explicit answer that it lacks the release, or the end of its session, takes a claim back. VM list likewise.

--- a/core/distribution/event.go
+++ b/core/distribution/event.go
@@ -12,6 +12,15 @@
 	VMList uint64
 }
 
+// merge returns the newer of each part of v and w.
+func (v Versions) merge(w Versions) Versions {
+	if w.Held.Newer(v.Held) {
+		v.Held = w.Held
+	}
+	v.VMList = max(v.VMList, w.VMList)
+	return v
+}
+
 // Event is something that happened to the node.
 type Event interface{ event() }
 
--- a/core/distribution/fetch.go
+++ b/core/distribution/fetch.go
@@ -152,6 +152,8 @@
 		v = m.admitDelta(e.Delta, e.Peer)
 	case e.Approved != nil:
 		v = m.admit(e.Approved, e.Peer)
+	case m.fetch != nil && m.fetch.id == e.Fetch:
+		m.lacksRelease(e.Peer, m.fetch.version)
 	}
 	if v != nil && m.fetch != nil && m.fetch.manifest && m.fetch.version == v.Version {
 		// A late answer to an earlier request serves as well.
--- a/core/distribution/peers.go
+++ b/core/distribution/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"auburnladder.example/core/release"
 	"auburnladder.example/core/vmlist"
 )
 
@@ -17,7 +18,9 @@
 	// up is set while a session exists.
 	up bool
 	// inbound is set when the peer counts this node among its neighbours.
-	inbound  bool
+	inbound bool
+	// versions is the most that the peer is known to hold since it was last reached: an
+	// answer that was overtaken by a newer one takes nothing away.
 	versions Versions
 	// heardAt numbers the last change of versions, to prefer the first announcer.
 	heardAt uint64
@@ -74,8 +77,8 @@
 	if p == nil {
 		return
 	}
-	if p.versions != e.Versions {
-		p.versions = e.Versions
+	if known := p.versions.merge(e.Versions); p.versions != known {
+		p.versions = known
 		p.heardAt = m.nextID()
 	}
 	p.inbound = p.inbound || e.Neighbour
@@ -83,6 +86,14 @@
 	m.noteConflict(e.Versions.Held, false)
 }
 
+// lacksRelease notes that the peer answered that it doesn't hold v: it restarted without
+// its session being seen to end.
+func (m *Machine) lacksRelease(id string, v release.Version) {
+	if p := m.peers[id]; p != nil && p.versions.Held == v {
+		p.versions.Held = release.Version{}
+	}
+}
+
 // linked reports whether p expects announcements.
 func (m *Machine) linked(p *peer) bool {
 	return p.up && (p.inbound || m.neighbours[p.id])
--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -89,6 +89,19 @@
 		ask, _ := find[FetchManifest](actions)
 		So(ask.Wanted, ShouldResemble, b.version)
 
+		Convey("and an answer that the newer one overtook takes the claim not back", func() {
+			actions := m.Step(epoch.Add(3*time.Millisecond), PeerVersions{Peer: vms[1].ID})
+			_, applied = find[Apply](actions)
+			So(applied, ShouldBeFalse)
+		})
+
+		Convey("and falls back once the peer answers that it holds it no more", func() {
+			actions := m.Step(epoch.Add(3*time.Millisecond), ManifestReceived{Fetch: ask.Fetch, Peer: ask.Peer})
+			apply, applied := find[Apply](actions)
+			So(applied, ShouldBeTrue)
+			So(apply.Snapshot.Version, ShouldResemble, old.version)
+		})
+
 		Convey("and does not fall back to the older one while a peer claims the newer, until the bound", func() {
 			m.Step(epoch.Add(time.Millisecond), FetchFailed{Fetch: ask.Fetch, Peer: ask.Peer})
 			at := epoch
--- a/core/distribution/vmlist.go
+++ b/core/distribution/vmlist.go
@@ -31,6 +31,9 @@
 	if m.listFetch != nil && m.listFetch.id == e.Fetch {
 		m.listFetch = nil
 	}
+	if p := m.peers[e.Peer]; p != nil {
+		p.versions.VMList = e.Revision
+	}
 	m.offerVMList(e.Revision, e.Data, e.Peer)
 }
 
