Combine the changes of a lasting series into fewer calls of the store

Change: after a burst of three, the next watch waits for a third of the time in which a release must be in force or a leaving server must get no more work (settings apply_within, leave_within, rendered from the platform's bounds); not while expired entries may come back. A test counts the calls of a series.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -114,6 +114,9 @@
 	r.failedSince = time.Time{}
 }
 
+// Settling reports whether entries that expired during an outage may still come back.
+func (r *Replica) Settling(now time.Time) bool { return now.Before(r.graceUntil) }
+
 // Replace takes over all items as of a revision, unless the replica is newer.
 func (r *Replica) Replace(now time.Time, items []Item, revision uint64) bool {
 	if revision < r.revision {
@@ -179,7 +182,7 @@
 	}
 	delete(r.servers, key)
 	r.listChanges++
-	if now.Before(r.graceUntil) {
+	if r.Settling(now) {
 		r.kept[key] = keptEntry{entry: entry, until: r.graceUntil}
 	}
 }
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -17,6 +17,7 @@
 	"auburnladder.example/node/command"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 )
 
 // Store is the key-value store. Its methods may be called from several goroutines.
@@ -42,8 +43,12 @@
 	ReadShare float64
 	// ReadsPerSecond is the store's rate for all nodes.
 	ReadsPerSecond float64
-	// CombineMax bounds the time in which changes are combined.
+	// CombineMax bounds the time over which these calls are spread.
 	CombineMax time.Duration
+	// ApplyWithin is the time in which a change must be in force here. In a series of
+	// changes, those of a third of it are combined into one call; the rest is for the call
+	// itself, the building of a release and requests that are under way.
+	ApplyWithin time.Duration
 	// PeerInterval is the time between two questions to peers while the store does not
 	// answer.
 	PeerInterval time.Duration
@@ -61,11 +66,21 @@
 		ReadShare:      0.25,
 		ReadsPerSecond: 2000,
 		CombineMax:     500 * time.Millisecond,
+		ApplyWithin:    2 * time.Second,
 		PeerInterval:   250 * time.Millisecond,
 		PeersAsked:     2,
 	}
 }
 
+const (
+	// combineShare is the part of ApplyWithin for which changes of a series are combined,
+	// one in this number.
+	combineShare = 3
+	// combineBurst is the number of calls that are made at once for changes after a
+	// quiet time.
+	combineBurst = 3
+)
+
 // Follower follows one store. Its methods are safe for concurrent use.
 type Follower struct {
 	cfg     Config
@@ -73,6 +88,8 @@
 	peers   Peers
 	command *command.Commander
 	log     zerolog.Logger
+	// series paces the calls of a lasting series of changes.
+	series *rate.Limiter
 	// failing is set while the store does not answer this node.
 	failing atomic.Bool
 	// calls are the open calls of the store, which may outlive Run.
@@ -95,6 +112,7 @@
 		peers:   peers,
 		command: cmd,
 		log:     log,
+		series:  rate.NewLimiter(rate.Every(cfg.ApplyWithin/combineShare), combineBurst),
 		replica: source.NewReplica(cfg.Replica, d),
 		decoder: d,
 	}
@@ -130,7 +148,7 @@
 		}
 		complete = true
 		wait = f.cfg.RetryMin
-		sleep(ctx, f.combineTime())
+		f.pace(ctx)
 	}
 }
 
@@ -198,14 +216,29 @@
 	return nil
 }
 
-// combineTime spreads the calls that a change causes at all nodes over the store's
-// rate.
-func (f *Follower) combineTime() time.Duration {
+// pace waits before the next watch. The calls that one change causes at all nodes are
+// spread over the store's rate. In a lasting series of changes, each call brings those of
+// a while; but after an outage, entries that come back are to be seen at once.
+func (f *Follower) pace(ctx context.Context) {
+	sleep(ctx, f.spread())
+	if !f.settling() {
+		sleep(ctx, f.series.Reserve().Delay())
+	}
+}
+
+func (f *Follower) spread() time.Duration {
 	nodes := len(f.command.State.Fleet().VMs)
 	seconds := float64(nodes) / (f.cfg.ReadShare * f.cfg.ReadsPerSecond)
 	return min(time.Duration(seconds*float64(time.Second)), f.cfg.CombineMax)
 }
 
+// settling reports whether entries that expired during an outage may still come back.
+func (f *Follower) settling() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Settling(time.Now())
+}
+
 func (f *Follower) failed(err error) {
 	f.mu.Lock()
 	f.replica.Failed(time.Now())
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -230,6 +230,41 @@
 			time.Sleep(2 * time.Second)
 			So(r.Failing(), ShouldBeFalse)
 		})
+		Convey("A lasting series of changes costs few calls, and each is in force in time", t, func() {
+			store := newFakeStore()
+			store.put("config", "\x01")
+			r := follow(store, noPeers{})
+			defer r.stop()
+			time.Sleep(time.Second)
+			before := store.watches.Load()
+			const series = 30 * time.Second
+			for i := range int(series / (50 * time.Millisecond)) {
+				store.put("10.0.0.9", string(rune('a'+i%20)))
+				time.Sleep(50 * time.Millisecond)
+			}
+			limit := float64(combineBurst) + series.Seconds()/(r.cfg.ApplyWithin/combineShare).Seconds()
+			So(store.watches.Load()-before, ShouldBeLessThanOrEqualTo, int64(limit)+1)
+			store.put("config", "\x02")
+			time.Sleep(r.cfg.ApplyWithin / 2)
+			So(r.sequence(), ShouldEqual, 2)
+		})
+		Convey("Entries that come back after an outage are seen at once", t, func() {
+			store := newFakeStore()
+			store.put("config", "\x01")
+			r := follow(store, noPeers{})
+			defer r.stop()
+			time.Sleep(10 * time.Millisecond)
+			store.change(func() { store.down = true })
+			time.Sleep(3 * time.Second)
+			store.change(func() { store.down = false })
+			time.Sleep(time.Second + 100*time.Millisecond)
+			for i := range 10 {
+				name := "10.0.1." + string(rune('0'+i))
+				store.put(name, "")
+				time.Sleep(30 * time.Millisecond)
+				So(r.vms(), ShouldContain, name)
+			}
+		})
 		Convey("A quiet store costs one call for each wait", t, func() {
 			store := newFakeStore()
 			store.put("config", "\x01")
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -185,6 +185,11 @@
 	Timeout yamlcheck.Duration `yaml:"timeout"`
 	// Wait bounds one watch. Longer costs fewer calls.
 	Wait yamlcheck.Duration `yaml:"wait"`
+	// ApplyWithin is the time in which a new release must be in force at a node, and
+	// LeaveWithin that in which a leaving server must get no more work. Longer combines
+	// more changes of the store into one call.
+	ApplyWithin yamlcheck.Duration `yaml:"apply_within"`
+	LeaveWithin yamlcheck.Duration `yaml:"leave_within"`
 	// FleetSize is the number of VMs to expect before the VM list is known. It spreads
 	// the first reads of a fleet that starts at once: larger delays every start, smaller
 	// lets a large fleet exceed the service's limit for a moment.
@@ -262,6 +267,8 @@
 const (
 	defaultPlatformTimeout = 2 * time.Second
 	defaultPlatformWait    = 30 * time.Second
+	defaultApplyWithin     = 2 * time.Second
+	defaultLeaveWithin     = 2 * time.Second
 	defaultFleetSize       = 300
 	defaultSampleRatio     = 0.01
 	defaultPeerTLSReload   = 10 * time.Second
@@ -277,9 +284,11 @@
 func Default() Settings {
 	return Settings{
 		Platform: Platform{
-			Timeout:   yamlcheck.Duration(defaultPlatformTimeout),
-			Wait:      yamlcheck.Duration(defaultPlatformWait),
-			FleetSize: defaultFleetSize,
+			Timeout:     yamlcheck.Duration(defaultPlatformTimeout),
+			Wait:        yamlcheck.Duration(defaultPlatformWait),
+			FleetSize:   defaultFleetSize,
+			ApplyWithin: yamlcheck.Duration(defaultApplyWithin),
+			LeaveWithin: yamlcheck.Duration(defaultLeaveWithin),
 
 			Kind:           SourceService,
 			ReadsPerSecond: defaultReadsPerSecond,
@@ -408,6 +417,14 @@
 	if p.ReadsPerSecond <= 0 {
 		problems = append(problems, yamlcheck.Problem{Field: "reads_per_second", Found: fmt.Sprint(p.ReadsPerSecond), Expected: "more than 0"})
 	}
+	for _, d := range []struct {
+		field string
+		value yamlcheck.Duration
+	}{{"apply_within", p.ApplyWithin}, {"leave_within", p.LeaveWithin}} {
+		if d.value <= 0 {
+			problems = append(problems, yamlcheck.Problem{Field: d.field, Found: d.value.String(), Expected: "more than 0s"})
+		}
+	}
 	if p.FleetSize < 1 {
 		problems = append(problems, yamlcheck.Problem{Field: "fleet_size", Found: fmt.Sprint(p.FleetSize), Expected: "1 or more"})
 	}
--- a/node/store.go
+++ b/node/store.go
@@ -47,6 +47,7 @@
 func (n *Node) newFollower() {
 	cfg := follow.DefaultConfig()
 	cfg.ReadsPerSecond = n.cfg.Platform.ReadsPerSecond
+	cfg.ApplyWithin = min(n.cfg.Platform.ApplyWithin.Std(), n.cfg.Platform.LeaveWithin.Std())
 	n.follower = follow.New(cfg, n.store.Store, n.store.Decoder, &peerFinder{node: n}, n.command, n.log)
 }
 
