Send long answers through a window on the VM's link

A call whose answer could not pass the link by its objective is refused at once, not run. Answers being sent count as load.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -182,6 +182,9 @@
 	l.dispatch(now)
 }
 
+// ServiceTime returns the typical time that the server takes for a route, 0 if unknown.
+func (l *Limiter) ServiceTime(route string) time.Duration { return l.times.estimate(route) }
+
 // Abandon gives up a queued request, because it waited long enough or its caller went
 // away.
 // If a decision was made before, it stands and is returned: a granted request must
--- a/node/proxy/egress/answer.go
+++ b/node/proxy/egress/answer.go
@@ -43,9 +43,12 @@
 	if err != nil {
 		return x.reject(conn, head.GetStatus(), err)
 	}
-	if size := resp.Header.ContentLength(); body == nil || size >= 0 && size <= x.egress.cfg.InlineBytes {
+	switch size := resp.Header.ContentLength(); {
+	case body == nil || size >= 0 && size <= x.egress.cfg.InlineBytes:
 		err = x.relayWhole(conn, resp, head, body, stop)
-	} else {
+	case size >= 0 && size <= x.egress.cfg.BufferBytes:
+		return x.relayBuffered(ctx, conn, resp, head, body, stop)
+	default:
 		err = x.relayParts(ctx, conn, resp, head, body, stop)
 	}
 	if err != nil {
@@ -79,16 +82,25 @@
 // relayWhole sends the answer in one message once all of it was read.
 func (x *exchange) relayWhole(conn *serverConn, resp *fasthttp.Response, head *peerpb.Reply, body io.Reader, stop func() bool) error {
 	if body != nil {
-		head.Body = make([]byte, resp.Header.ContentLength())
-		if _, err := io.ReadFull(body, head.Body); err != nil {
-			return fmt.Errorf("answer broken off: %w", unexpectedEOF(err))
+		data, err := readBody(body, resp.Header.ContentLength())
+		if err != nil {
+			return err
 		}
+		head.Body = data
 	}
 	x.finish(conn, resp, stop)
 	x.reply(head)
 	return nil
 }
 
+func readBody(body io.Reader, size int) ([]byte, error) {
+	data := make([]byte, size)
+	if _, err := io.ReadFull(body, data); err != nil {
+		return nil, fmt.Errorf("answer broken off: %w", unexpectedEOF(err))
+	}
+	return data, nil
+}
+
 // relayParts sends the head at once and the body as it comes. It returns an error only
 // while the connection is still in use.
 func (x *exchange) relayParts(ctx context.Context, conn *serverConn, resp *fasthttp.Response, head *peerpb.Reply, body io.Reader, stop func() bool) error {
@@ -98,6 +110,7 @@
 	buf := make([]byte, x.egress.cfg.ChunkBytes)
 	var total int64
 	var last []byte
+	x.beginTransfer(max(0, resp.Header.ContentLength()))
 	for {
 		n, err := body.Read(buf)
 		total += int64(n)
@@ -108,8 +121,8 @@
 			last = buf[:n]
 			break
 		}
-		if err := x.stream.Send(&peerpb.Body{Data: buf[:n]}); err != nil {
-			return fmt.Errorf("%w: %w", errCallEnded, err)
+		if err := x.sendPart(ctx, &peerpb.Body{Data: buf[:n]}); err != nil {
+			return err
 		}
 	}
 	if ctx.Err() != nil {
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -13,6 +13,7 @@
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/steady"
+	"auburnladder.example/core/transfer"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/decisions"
@@ -46,6 +47,9 @@
 	pool    *serverPool
 	seen    *seenCalls
 	pause   *admission.PauseDetector
+	// window is the link's share for long answers, sizes what these are.
+	window *transfer.Window
+	sizes  bodySizes
 
 	// dependencyFailed is when a call of the server to another one last failed, in
 	// Unix nanoseconds.
@@ -73,6 +77,8 @@
 		pool:    newServerPool(addr, cfg.Server, now),
 		seen:    newSeenCalls(cfg.SeenCalls),
 		boot:    boot,
+		window:  transfer.New(cfg.Transfer),
+		sizes:   bodySizes{means: make(map[string]float64)},
 		pause:   admission.NewPauseDetector(cfg.Pause, boot()),
 	}
 	e.pool.onRestart = func() { e.limiter.Restart(now()) }
@@ -107,7 +113,7 @@
 	l := e.limiter.Load()
 	return &peerpb.Load{
 		InFlight: uint32(l.InFlight),
-		Queued:   uint32(l.Queued),
+		Queued:   uint32(l.Queued + e.window.Sending()),
 		Limit:    uint32(l.Limit),
 		Leaving:  e.State.Leaving(),
 	}
@@ -207,6 +213,7 @@
 		stream:   st,
 		stale:    e.pause.Observe(boot),
 		late:     late,
+		progress: make(chan struct{}, 1),
 		deadline: e.Now().Add(e.remaining(call) - late),
 	}
 	egressStats.Add("calls", 1)
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -6,10 +6,12 @@
 	"expvar"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/transfer"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/node/metrics"
 	"auburnladder.example/node/peers"
@@ -38,12 +40,18 @@
 
 // exchange is one call from its arrival to the end of its answer.
 type exchange struct {
-	egress      *Egress
-	from        peers.Peer
-	call        *peerpb.Call
-	stream      *session.Stream
-	deadline    time.Time
+	egress   *Egress
+	from     peers.Peer
+	call     *peerpb.Call
+	stream   *session.Stream
+	deadline time.Time
+	// objective is when the answer ceases to be worth most.
+	objective   time.Time
 	traceparent string
+	// transfer is the body on its way, nil before it; progress is signalled when the
+	// caller's node confirms a part.
+	transfer atomic.Pointer[transfer.Transfer]
+	progress chan struct{}
 	// stale is set if the call may have waited while this process was paused.
 	stale bool
 	// late is how much longer than usual the call was under way.
@@ -93,6 +101,8 @@
 			return x.refuse(err)
 		}
 	}
+	x.reserve()
+	defer x.endTransfer()
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	defer x.release(admission.Result{Unmeasured: true})
@@ -126,15 +136,25 @@
 
 // watch cancels the call once the caller's node ends the stream.
 func (x *exchange) watch(cancel context.CancelFunc) {
-	var unexpected peerpb.Body
-	// Any message or error ends the call: nothing may follow a whole request.
-	_ = x.stream.Recv(&unexpected)
-	cancel()
+	defer cancel()
+	for {
+		var progress peerpb.Progress
+		// Only reports of progress may follow a whole request; the end of the stream and any
+		// error end the call.
+		if err := x.stream.Recv(&progress); err != nil {
+			return
+		}
+		x.confirm(progress.GetReceived())
+	}
 }
 
 func (x *exchange) admit(ctx context.Context) error {
 	l := x.egress.limiter
 	now := x.egress.Now()
+	x.objective = now.Add(time.Duration(x.call.GetObjectiveUs())*time.Microsecond - x.late)
+	if err := x.checkLink(now); err != nil {
+		return err
+	}
 	outcome := admission.ReasonNone
 	defer func() { metrics.ObserveQueue(outcome.String(), x.egress.Now().Sub(now)) }()
 	d := l.Acquire(now, admission.Request{
@@ -142,7 +162,7 @@
 		Route:     x.call.GetRoute(),
 		Priority:  x.priority,
 		Rank:      x.call.GetRank(),
-		Objective: now.Add(time.Duration(x.call.GetObjectiveUs())*time.Microsecond - x.late),
+		Objective: x.objective,
 		Deadline:  x.deadline,
 	})
 	if d.Outcome == admission.Queued {
--- a/node/proxy/egress/faults_test.go
+++ b/node/proxy/egress/faults_test.go
@@ -22,13 +22,14 @@
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	big := strings.Repeat("x", 200<<10)
 	noHead := map[string]string{
-		"nothing":              "",
-		"half a head":          "HTTP/1.1 200 OK\r\nContent-Le",
-		"no HTTP":              "garbage\r\n\r\n",
-		"a short small body":   "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello",
-		"an oversized head":    "HTTP/1.1 200 OK\r\nA: " + big + "\r\nContent-Length: 0\r\n\r\n",
-		"a malformed length":   "HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nhello",
-		"only an intermediate": "HTTP/1.1 100 Continue\r\n\r\n",
+		"nothing":                 "",
+		"half a head":             "HTTP/1.1 200 OK\r\nContent-Le",
+		"no HTTP":                 "garbage\r\n\r\n",
+		"a short small body":      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello",
+		"an oversized head":       "HTTP/1.1 200 OK\r\nA: " + big + "\r\nContent-Length: 0\r\n\r\n",
+		"a malformed length":      "HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nhello",
+		"a longer body cut short": "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + big,
+		"only an intermediate":    "HTTP/1.1 100 Continue\r\n\r\n",
 	}
 	Convey("Without a whole head or small body the verdict is may have run", t, func() {
 		for name, text := range noHead {
@@ -44,7 +45,7 @@
 		}
 	})
 	aborted := map[string]string{
-		"a long body cut short":      "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + big,
+		"a long body cut short":      "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + big,
 		"chunks that end in a chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
 		"chunks without the last":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
 		"chunks that are garbage":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
--- a/node/proxy/egress/rig_test.go
+++ b/node/proxy/egress/rig_test.go
@@ -282,6 +282,11 @@
 }
 
 func readAnswer(st *session.Stream, call *peerpb.Call) egressAnswer {
+	return readAnswerEvery(st, call, 0)
+}
+
+// readAnswerEvery pauses before it confirms each part.
+func readAnswerEvery(st *session.Stream, call *peerpb.Call, pause time.Duration) egressAnswer {
 	a := egressAnswer{Reply: &peerpb.Reply{}}
 	So(st.Recv(a.Reply), ShouldBeNil)
 	So(a.GetId(), ShouldEqual, call.GetId())
@@ -290,6 +295,8 @@
 		var part peerpb.Body
 		So(st.Recv(&part), ShouldBeNil)
 		a.body = append(a.body, part.GetData()...)
+		time.Sleep(pause)
+		_ = st.Send(&peerpb.Progress{Received: uint64(len(a.body))})
 		a.aborted = part.GetAborted()
 		more = !part.GetLast()
 		if !more && !a.aborted {
--- a/node/proxy/ingress/body.go
+++ b/node/proxy/ingress/body.go
@@ -72,6 +72,8 @@
 		return r.broken(fmt.Errorf("%d bytes came of %d", r.total, r.part.GetTotal()))
 	}
 	r.pending = r.part.GetData()
+	// If the report is lost, so is the stream, and the next read says so.
+	_ = r.attempt.stream.Send(&peerpb.Progress{Received: r.total})
 	return nil
 }
 
