--- a/core/transfer/window.go
+++ b/core/transfer/window.go
@@ -110,6 +110,21 @@
 	return time.Duration(float64(n) / w.rate.bytesPerSecond * float64(time.Second))
 }
 
+// Status is what the window knows at a moment.
+type Status struct {
+	// BytesPerSecond is the measured rate of the link, 0 before the first measurement.
+	BytesPerSecond float64
+	// Backlog are the bytes that begun transfers have still to get confirmed.
+	Backlog int
+}
+
+// Status returns the state at this moment.
+func (w *Window) Status() Status {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Status{BytesPerSecond: w.rate.bytesPerSecond, Backlog: w.backlog}
+}
+
 // Sending returns the number of transfers that have sent or want to send and have not
 // ended.
 func (w *Window) Sending() int {
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -173,6 +173,9 @@
 	egressStats.Set("in_flight", gauge(l.InFlight))
 	egressStats.Set("queued", gauge(l.Queued))
 	egressStats.Set("limit", gauge(l.Limit))
+	link := e.window.Status()
+	egressStats.Set("link_bytes_per_second", gauge(link.BytesPerSecond))
+	egressStats.Set("link_backlog", gauge(link.Backlog))
 }
 
 // gauge is a metric that is replaced as a whole.
--- a/node/proxy/egress/identify.go
+++ b/node/proxy/egress/identify.go
@@ -19,11 +19,14 @@
 	maxForeignAnswers = 2
 	// maxForeignBytes bounds the body of such an answer.
 	maxForeignBytes = 1 << 20
+	// identityEncoding is the name of no encoding.
+	identityEncoding = "identity"
 )
 
 var (
 	errForeignAnswer = errors.New("the server answered another request")
 	errNoSeal        = errors.New("the server's answer is not sealed")
+	errEncoded       = errors.New("the server's answer has an encoded body")
 )
 
 // readHead reads the head of the answer that belongs to the request. Answers to other
@@ -34,7 +37,7 @@
 			return err
 		}
 		if x.belongs(resp) {
-			return x.checkSeal(resp)
+			return x.checkSuccess(resp)
 		}
 		egressStats.Add("foreign_answers", 1)
 		if err := skipBody(resp); err != nil {
@@ -73,13 +76,20 @@
 	return ""
 }
 
-// checkSeal refuses a success that no server signed.
-func (x *exchange) checkSeal(resp *fasthttp.Response) error {
+// checkSuccess refuses a success that no server signed or whose body is encoded: servers
+// sign bodies as they are, and callers ask for no encoding.
+func (x *exchange) checkSuccess(resp *fasthttp.Response) error {
 	name := x.egress.Headers.Seal
-	if name == "" || resp.StatusCode()/100 != 2 || len(resp.Header.Peek(name)) > 0 {
+	if name == "" || resp.StatusCode()/100 != 2 {
 		return nil
 	}
-	return errNoSeal
+	if len(resp.Header.Peek(name)) == 0 {
+		return errNoSeal
+	}
+	if encoding := string(resp.Header.ContentEncoding()); encoding != "" && encoding != identityEncoding {
+		return fmt.Errorf("%w: %q", errEncoded, encoding)
+	}
+	return nil
 }
 
 func skipBody(resp *fasthttp.Response) error {
--- a/node/proxy/egress/listed_test.go
+++ b/node/proxy/egress/listed_test.go
@@ -120,6 +120,8 @@
 		{"behind one to another request", foreign + sealed, peerpb.Verdict_VERDICT_RAN, false, "ok"},
 		{"only to another request", foreign, peerpb.Verdict_VERDICT_MAY_HAVE_RUN, false, ""},
 		{"success without seal", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok", peerpb.Verdict_VERDICT_MAY_HAVE_RUN, false, ""},
+		{"success with an encoded body", strings.Replace(sealed, "X-Seal", "Content-Encoding: gzip\r\nX-Seal", 1), peerpb.Verdict_VERDICT_MAY_HAVE_RUN, false, ""},
+		{"success with the identity encoding", strings.Replace(sealed, "X-Seal", "Content-Encoding: identity\r\nX-Seal", 1), peerpb.Verdict_VERDICT_RAN, false, "ok"},
 		{"failure without seal", "HTTP/1.1 500 No\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno", peerpb.Verdict_VERDICT_RAN, false, "no"},
 		{"ends with the connection", "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Seal: s\r\n\r\nwhole", peerpb.Verdict_VERDICT_RAN, false, "whole"},
 		{"shed", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", peerpb.Verdict_VERDICT_NOT_RUN, true, ""},
