Measure the link only while the window is full

Cause: the rate was also measured while few bodies went to slow receivers, so it fell below the link's; a low rate refuses more, which keeps the window from filling (test: 164 kB/s measured on a link of 1 MB/s).

--- a/core/transfer/window.go
+++ b/core/transfer/window.go
@@ -5,7 +5,6 @@
 package transfer
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -99,15 +98,16 @@
 func (w *Window) Finish(ready time.Duration, size int) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.rate.bytesPerSecond == 0 || w.backlog == 0 {
+	rate := w.rate.at(time.Now())
+	if rate == 0 || w.backlog == 0 {
 		return 0
 	}
-	return max(ready, w.onLink(w.backlog)) + w.onLink(size)
+	return max(ready, onLink(w.backlog, rate)) + onLink(size, rate)
 }
 
-// onLink returns how long the link takes for n bytes. It needs mu.
-func (w *Window) onLink(n int) time.Duration {
-	return time.Duration(float64(n) / w.rate.bytesPerSecond * float64(time.Second))
+// onLink returns how long a link of so many bytes a second takes for n bytes.
+func onLink(n int, rate float64) time.Duration {
+	return time.Duration(float64(n) / rate * float64(time.Second))
 }
 
 // Status is what the window knows at a moment.
@@ -202,6 +202,7 @@
 		t.progress = now
 		close(t.granted)
 	}
+	w.rate.notFull(now)
 }
 
 // size returns the bytes that may be under way. It needs mu.
@@ -235,9 +236,6 @@
 	done := min(n, t.left)
 	t.left -= done
 	w.backlog -= done
-	if w.underWay == 0 {
-		w.rate.idle()
-	}
 }
 
 // Pending returns the bytes that were sent and not confirmed or written off.
@@ -273,43 +271,3 @@
 	t.confirmed = t.sent
 	w.grant(now)
 }
-
-// rateMeter measures the link while transfers wait for it.
-type rateMeter struct {
-	// bytesPerSecond is the estimate, 0 before the first.
-	bytesPerSecond float64
-	// since is when the present measurement began: once the window was full. It is zero
-	// while nothing is under way.
-	since time.Time
-	bytes int
-}
-
-const (
-	// measureFor is how long the link must be full for one measurement.
-	measureFor = 100 * time.Millisecond
-	// measureWeight is the weight of a measurement against those before it.
-	measureWeight = 0.3
-)
-
-func (m *rateMeter) full(now time.Time) {
-	if m.since.IsZero() {
-		m.since, m.bytes = now, 0
-	}
-}
-
-func (m *rateMeter) idle() { m.since = time.Time{} }
-
-func (m *rateMeter) add(now time.Time, n int) {
-	if m.since.IsZero() {
-		return
-	}
-	m.bytes += n
-	elapsed := now.Sub(m.since)
-	if elapsed < measureFor {
-		return
-	}
-	measured := float64(m.bytes) / elapsed.Seconds()
-	old := cmp.Or(m.bytesPerSecond, measured)
-	m.bytesPerSecond = old + measureWeight*(measured-old)
-	m.since, m.bytes = now, 0
-}
--- a/core/transfer/window_test.go
+++ b/core/transfer/window_test.go
@@ -103,6 +103,41 @@
 	})
 }
 
+func TestRateWithLittleLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a link whose rate was measured under load", t, func() {
+			w, l := New(config()), &link{rate: 1 << 20}
+			run(w, l, 64, time.Now())
+			So(w.Status().BytesPerSecond, ShouldAlmostEqual, l.rate, l.rate/10)
+
+			Convey("few bodies to slow receivers don't count as a slow link", func() {
+				const confirmAfter, interval = 150 * time.Millisecond, 100 * time.Millisecond
+				var all conc.WaitGroup
+				all.Go(func() { run(w, l, 8, time.Now()) })
+				for range 40 {
+					all.Go(func() {
+						x := w.Begin(time.Now(), part, time.Now())
+						_ = x.Acquire(context.Background(), part)
+						time.Sleep(confirmAfter)
+						x.Confirm(time.Now(), part)
+						x.End(time.Now())
+					})
+					time.Sleep(interval)
+				}
+				all.Wait()
+				So(w.Status().BytesPerSecond, ShouldAlmostEqual, l.rate, l.rate/10)
+			})
+			Convey("it is not believed for ever", func() {
+				waiting := w.Begin(time.Now(), part, time.Now())
+				So(w.Finish(0, part), ShouldBeGreaterThan, 0)
+				time.Sleep(rateExpiry + time.Second)
+				So(w.Finish(0, part), ShouldEqual, 0)
+				waiting.End(time.Now())
+			})
+		})
+	})
+}
+
 func TestStalledReceiver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A receiver that confirms nothing holds the others up for a bounded time", t, func() {
