Call sent and unconfirmed bytes in flight, and say what a transfer counts

Cause: read as a newcomer, 'under way' is not the field's term, and the counters of a transfer had no words. Names and comments only; tests of core/transfer and node/proxy/egress pass.

--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -89,7 +89,7 @@
 		ask, _ := find[FetchManifest](actions)
 		So(ask.Wanted, ShouldResemble, b.version)
 
-		Convey("and an answer that the newer one overtook takes the claim not back", func() {
+		Convey("and an answer that the newer one overtook does not take the claim back", func() {
 			actions := m.Step(epoch.Add(3*time.Millisecond), PeerVersions{Peer: vms[1].ID})
 			_, applied = find[Apply](actions)
 			So(applied, ShouldBeFalse)
--- a/core/transfer/window.go
+++ b/core/transfer/window.go
@@ -1,5 +1,5 @@
 // Package transfer shares a VM's link between the bodies of answers. Only so many bytes are
-// under way at a time as the link carries in a short while, so that small messages don't
+// in flight at a time as the link carries in a short while, so that small messages don't
 // wait behind long bodies; and bodies that are due earlier go first, so that under overload
 // some are in time instead of all being late.
 package transfer
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// Config bounds the bytes under way.
+// Config bounds the bytes in flight.
 type Config struct {
-	// LinkDelay is how long the bytes under way may occupy the link. Longer makes small
+	// LinkDelay is how long the bytes in flight may occupy the link. Longer makes small
 	// messages wait, shorter leaves the link idle when receivers are slow to confirm.
 	LinkDelay time.Duration
 	// MinBytes and MaxBytes bound the window whatever rate was measured.
@@ -40,8 +40,8 @@
 	cfg Config
 
 	mu sync.Mutex
-	// underWay are the bytes that were sent and not confirmed.
-	underWay int
+	// inFlight are the bytes that were sent and not confirmed.
+	inFlight int
 	// backlog are the bytes that begun transfers have still to get confirmed.
 	backlog int
 	active  map[*Transfer]struct{}
@@ -61,13 +61,18 @@
 	window *Window
 	due    time.Time
 	// left are the bytes not confirmed yet, as far as the length is known.
-	left      int
+	left int
+	// sent, confirmed and inFlight count bytes; confirmed ones and those of a receiver
+	// that confirms nothing any more are no longer in flight.
 	sent      int
 	confirmed int
-	underWay  int
-	progress  time.Time
-	want      int
-	granted   chan struct{}
+	inFlight  int
+	// progress is when bytes were last sent or confirmed.
+	progress time.Time
+	// want is the size of the part that waits for room; granted is closed once it has it,
+	// and nil before the first part.
+	want    int
+	granted chan struct{}
 }
 
 // Begin starts a transfer of about size bytes that should end by due. It may be begun
@@ -191,13 +196,13 @@
 func (w *Window) grant(now time.Time) {
 	for len(w.waiting) > 0 {
 		t := w.waiting[0]
-		if w.underWay > 0 && w.underWay+t.want > w.size() {
+		if w.inFlight > 0 && w.inFlight+t.want > w.size() {
 			w.rate.full(now)
 			return
 		}
 		w.waiting = w.waiting[1:]
-		w.underWay += t.want
-		t.underWay += t.want
+		w.inFlight += t.want
+		t.inFlight += t.want
 		t.sent += t.want
 		t.progress = now
 		close(t.granted)
@@ -205,7 +210,7 @@
 	w.rate.notFull(now)
 }
 
-// size returns the bytes that may be under way. It needs mu.
+// size returns the bytes that may be in flight. It needs mu.
 func (w *Window) size() int {
 	bytes := w.rate.bytesPerSecond * w.cfg.LinkDelay.Seconds()
 	return min(max(int(bytes), w.cfg.MinBytes), w.cfg.MaxBytes)
@@ -228,11 +233,11 @@
 	w.grant(now)
 }
 
-// settle takes n bytes of t off what is under way and left. It needs mu.
+// settle takes n bytes of t off what is in flight and left. It needs mu.
 func (w *Window) settle(t *Transfer, n int) {
-	flown := min(n, t.underWay)
-	t.underWay -= flown
-	w.underWay -= flown
+	landed := min(n, t.inFlight)
+	t.inFlight -= landed
+	w.inFlight -= landed
 	done := min(n, t.left)
 	t.left -= done
 	w.backlog -= done
@@ -242,7 +247,7 @@
 func (t *Transfer) Pending() int {
 	t.window.mu.Lock()
 	defer t.window.mu.Unlock()
-	return t.underWay
+	return t.inFlight
 }
 
 // writeOffStalled takes bytes that were not confirmed for long off the window.
@@ -250,9 +255,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for t := range w.active {
-		if t.underWay > 0 && now.Sub(t.progress) >= w.cfg.StallAfter {
-			w.underWay -= t.underWay
-			t.underWay = 0
+		if t.inFlight > 0 && now.Sub(t.progress) >= w.cfg.StallAfter {
+			w.inFlight -= t.inFlight
+			t.inFlight = 0
 		}
 	}
 	w.grant(now)
@@ -267,7 +272,7 @@
 		return
 	}
 	delete(w.active, t)
-	w.settle(t, max(t.underWay, t.left))
+	w.settle(t, max(t.inFlight, t.left))
 	t.confirmed = t.sent
 	w.grant(now)
 }
--- a/core/transfer/window_test.go
+++ b/core/transfer/window_test.go
@@ -157,7 +157,7 @@
 				dead.End(time.Now())
 				dead.Confirm(time.Now(), 9*part)
 				dead.End(time.Now())
-				So(w.underWay, ShouldEqual, 0)
+				So(w.inFlight, ShouldEqual, 0)
 				So(w.backlog, ShouldEqual, 0)
 			})
 		})
--- a/node/proxy/egress/transfer.go
+++ b/node/proxy/egress/transfer.go
@@ -108,7 +108,7 @@
 	return nil
 }
 
-// confirm takes the caller's node's word on how much of the answer has arrived.
+// confirm notes how much of the answer has arrived at the caller's node.
 func (x *exchange) confirm(received uint64) {
 	if t := x.transfer.Load(); t != nil {
 		t.Confirm(x.egress.Now(), int(received))
