--- a/node/proxy/egress/config.go
+++ b/node/proxy/egress/config.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"auburnladder.example/core/admission"
-	"auburnladder.example/core/transfer"
+	"auburnladder.example/node/transfer"
 )
 
 // Config bounds the work of an Egress.
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -10,11 +10,11 @@
 
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
-	"auburnladder.example/core/transfer"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/node/metrics"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/tracing"
+	"auburnladder.example/node/transfer"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/sourcegraph/conc"
