--- a/node/proxy/egress/late_test.go
+++ b/node/proxy/egress/late_test.go
@@ -48,7 +48,8 @@
 			So(r.server.requests.Load(), ShouldEqual, 1)
 		})
 		Convey("one whose end came with it doesn't reach the server", func() {
-			r.gate.Lock()
+			gate := make(chan struct{})
+			r.gate.Store(&gate)
 			for i := range 20 {
 				r.open(send(fmt.Sprint("ended", i), time.Second, testWait)).Close()
 			}
@@ -56,7 +57,7 @@
 			st := r.open(last)
 			// Messages of a session arrive in order: with the last call, the others have ended.
 			waitUntil(func() bool { return r.arrived.Load() == 22 })
-			r.gate.Unlock()
+			close(gate)
 			readAnswer(st, last)
 			st.Close()
 			waitUntil(func() bool { return r.egress.Active() == 0 })
--- a/node/proxy/egress/rig_test.go
+++ b/node/proxy/egress/rig_test.go
@@ -127,8 +127,8 @@
 	local  *session.Session
 	from   peers.Peer
 	nextID uint64
-	// gate holds arrived calls back while it is locked for writing.
-	gate    sync.RWMutex
+	// gate holds arrived calls back until it is closed; nil for no gate.
+	gate    atomic.Pointer[chan struct{}]
 	arrived atomic.Int64
 	offset  atomic.Int64
 	cancel  context.CancelFunc
@@ -173,8 +173,9 @@
 			var req peerpb.Request
 			if st.Recv(&req) == nil {
 				r.arrived.Add(1)
-				r.gate.RLock()
-				r.gate.RUnlock()
+				if gate := r.gate.Load(); gate != nil {
+					<-*gate
+				}
 				r.egress.ServeCall(ctx, r.from, req.GetCall(), st)
 			}
 		})
