--- a/node/transfer/window_test.go
+++ b/node/transfer/window_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 
 // link confirms parts one after the other at a fixed rate, as a real link delivers them.
 type link struct {
+	mu   sync.Mutex
 	free time.Time
 	rate float64
 	// delay is the longest time that a part spent on the link.
@@ -28,6 +30,8 @@
 
 // send returns when n bytes that are sent now arrive.
 func (l *link) send(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := time.Now()
 	if l.free.Before(now) {
 		l.free = now
