Say once how a test gets a node that follows one release

Cause: four cases of TestFollow began with the same four lines. Ruled out: a shared rig for all cases (three begin with other items).

--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -167,6 +167,13 @@
 	return names
 }
 
+// followOneRelease returns a store with release 1 and a node that follows it.
+func followOneRelease() (*fakeStore, *rig) {
+	store := newFakeStore()
+	store.put("config", "\x01")
+	return store, follow(store, noPeers{})
+}
+
 func TestFollow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A node holds what the store holds, within milliseconds of each change", t, func() {
@@ -214,9 +221,7 @@
 			So(store.lists.Load(), ShouldEqual, 2)
 		})
 		Convey("Without an answer the calls become few, and what is held stays", t, func() {
-			store := newFakeStore()
-			store.put("config", "\x01")
-			r := follow(store, noPeers{})
+			store, r := followOneRelease()
 			defer r.stop()
 			time.Sleep(10 * time.Millisecond)
 			store.change(func() { store.down = true })
@@ -231,9 +236,7 @@
 			So(r.Failing(), ShouldBeFalse)
 		})
 		Convey("A lasting series of changes costs few calls, and each is in force in time", t, func() {
-			store := newFakeStore()
-			store.put("config", "\x01")
-			r := follow(store, noPeers{})
+			store, r := followOneRelease()
 			defer r.stop()
 			time.Sleep(time.Second)
 			before := store.watches.Load()
@@ -249,9 +252,7 @@
 			So(r.sequence(), ShouldEqual, 2)
 		})
 		Convey("Entries that come back after an outage are seen at once", t, func() {
-			store := newFakeStore()
-			store.put("config", "\x01")
-			r := follow(store, noPeers{})
+			store, r := followOneRelease()
 			defer r.stop()
 			time.Sleep(10 * time.Millisecond)
 			store.change(func() { store.down = true })
@@ -266,9 +267,7 @@
 			}
 		})
 		Convey("A quiet store costs one call for each wait", t, func() {
-			store := newFakeStore()
-			store.put("config", "\x01")
-			r := follow(store, noPeers{})
+			store, r := followOneRelease()
 			defer r.stop()
 			time.Sleep(20 * time.Second)
 			So(store.watches.Load(), ShouldBeBetween, 8, 12)
