--- a/node/proxy/egress/transfer.go
+++ b/node/proxy/egress/transfer.go
@@ -53,8 +53,8 @@
 	return nil
 }
 
-// awaitArrival returns once the caller's node has confirmed all parts, or ended the stream,
-// or confirms nothing.
+// awaitArrival returns once the caller's node has confirmed all parts or ended the stream,
+// and after StallAfter in any case.
 func (x *exchange) awaitArrival(ctx context.Context) {
 	t := x.transfer.Load()
 	if t == nil {
