Wait for a replacement connection instead of opening a second one

Cause: TestEgressConnections failed once beside load with four connections instead of three. The pool replaces an unresponsive connection in the background; the server had accepted the replacement, but the pool did not hold it yet when the next call came, which opened one more. The pool is at fault: a connection too many costs the server and counts against its limit.

Ruled out: the test's count (the server counts accepts exactly), idle connections closed by the server.

Change: a call that finds no idle connection waits for the replacement that is being opened. TestReplacementIsNotOpenedTwice holds the dial back and fails without the change (two dials).

--- a/node/proxy/egress/server_pool.go
+++ b/node/proxy/egress/server_pool.go
@@ -59,6 +59,9 @@
 	closed bool
 	// down is set while connection attempts fail.
 	down bool
+	// replacement is closed when the background dial in progress has ended; nil if there is
+	// none. A call that finds no idle connection waits for it instead of opening another one.
+	replacement chan struct{}
 }
 
 func newServerPool(addr netip.AddrPort, cfg ServerConfig, now func() time.Time) *serverPool {
@@ -91,7 +94,7 @@
 // it always opens a new one.
 func (p *serverPool) get(ctx context.Context, forceDial bool) (*serverConn, error) {
 	for !forceDial {
-		c := p.popIdle()
+		c := p.awaitIdle(ctx)
 		if c == nil {
 			break
 		}
@@ -103,15 +106,33 @@
 	return p.dial(ctx)
 }
 
-func (p *serverPool) popIdle() *serverConn {
+// awaitIdle returns an idle connection, or nil if there is none. If there is none but a
+// replacement is being opened, it waits for that one.
+func (p *serverPool) awaitIdle(ctx context.Context) *serverConn {
+	c, replacement := p.popIdle()
+	if c != nil || replacement == nil {
+		return c
+	}
+	select {
+	case <-replacement:
+		c, _ = p.popIdle()
+		return c
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// popIdle takes an idle connection, or returns nil and the replacement that is being opened,
+// if any.
+func (p *serverPool) popIdle() (*serverConn, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) == 0 {
-		return nil
+		return nil, p.replacement
 	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return c, nil
 }
 
 func (p *serverPool) dial(ctx context.Context) (*serverConn, error) {
@@ -185,14 +206,22 @@
 	p.closeIdle(c.started)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) > 0 {
+	if p.closed || len(p.idle) > 0 || p.replacement != nil {
 		return
 	}
-	p.dials.Go(func() {
-		if c, err := p.dial(context.Background()); err == nil {
-			p.put(c)
-		}
-	})
+	p.replacement = make(chan struct{})
+	p.dials.Go(p.openReplacement)
+}
+
+// openReplacement opens a connection and puts it into the pool.
+func (p *serverPool) openReplacement() {
+	if c, err := p.dial(context.Background()); err == nil {
+		p.put(c)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.replacement)
+	p.replacement = nil
 }
 
 // closeIdle closes idle connections last used before the given time.
