--- a/journal/blobs/4582b18c447d6f24.txt
+++ b/node/callerhttp/conn.go
@@ -0,0 +1,401 @@
+package callerhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// writeBufferBytes is the size of the write buffer of a connection.
+	writeBufferBytes = 4 << 10
+	// leaveCheckInterval is the time between two checks for a caller that closed its
+	// connection while reading is paused.
+	leaveCheckInterval = 100 * time.Millisecond
+	// closeCheckInterval is the time between two checks for a caller that closes its
+	// connection after its last response.
+	closeCheckInterval = 20 * time.Millisecond
+)
+
+// pastDeadline is a deadline that ends a blocked read or write at once.
+var pastDeadline = time.Unix(1, 0)
+
+// conn is one connection of a caller. Its reading goroutine runs serve; each exchange has a
+// goroutine that runs it and, at its turn, writes the response.
+type conn struct {
+	server *Server
+	nc     net.Conn
+	in     arrivalReader
+	br     *bufio.Reader
+	// bw belongs to the exchange whose turn it is.
+	bw       *bufio.Writer
+	pipeline pipeline
+	// ctx ends when the caller has left or the connection is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+	// answered receives a value after a response is complete.
+	answered chan struct{}
+	// lastAnswer is when the last response was complete, in Unix nanoseconds.
+	lastAnswer atomic.Int64
+
+	// mu guards the read deadline and lingering, which is set once the last response is
+	// complete: nothing is read after that.
+	mu        sync.Mutex
+	lingering bool
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	c := &conn{server: s, nc: nc, answered: make(chan struct{}, 1)}
+	c.in.conn = nc
+	c.br = bufio.NewReaderSize(&c.in, s.cfg.MaxHeaderBytes)
+	c.bw = bufio.NewWriterSize(nc, writeBufferBytes)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.lastAnswer.Store(time.Now().UnixNano())
+	return c
+}
+
+// arrivalReader notes when the bytes of its last read arrived.
+type arrivalReader struct {
+	conn net.Conn
+	last time.Time
+	// pausedSince is when reading was paused with bytes of the caller possibly unread; zero if
+	// it was not. The next read resets it.
+	pausedSince time.Time
+}
+
+// promptRead is the duration of a read up to which its bytes were there before it began.
+const promptRead = time.Millisecond
+
+// Read implements io.Reader.
+func (r *arrivalReader) Read(p []byte) (int, error) {
+	began := time.Now()
+	n, err := r.conn.Read(p)
+	r.last = time.Now()
+	if !r.pausedSince.IsZero() && r.last.Sub(began) < promptRead {
+		r.last = r.pausedSince
+	}
+	r.pausedSince = time.Time{}
+	return n, err
+}
+
+// serve reads requests and starts their exchanges until the connection ends.
+func (c *conn) serve() {
+	defer c.finish()
+	for c.awaitRoom() && c.awaitRequest() {
+		x, err := c.readRequest()
+		if err != nil && c.callerLeft(err) {
+			releaseExchange(x)
+			return
+		}
+		if !c.begin(x, err) {
+			releaseExchange(x)
+			return
+		}
+	}
+}
+
+// awaitRoom waits until one more request may be read. It returns false if no further request
+// is to be read.
+func (c *conn) awaitRoom() bool {
+	for !c.hasRoom() {
+		if c.in.pausedSince.IsZero() {
+			c.in.pausedSince = time.Now()
+			stats.paused.Add(1)
+		}
+		if !c.awaitAnswer() {
+			return false
+		}
+	}
+	return !c.pipeline.closing()
+}
+
+func (c *conn) hasRoom() bool {
+	cfg := &c.server.cfg
+	count, bytes := c.pipeline.load()
+	return count == 0 || count < cfg.MaxPipelined && bytes < cfg.MaxPipelinedBytes && c.server.waiting.Load() < cfg.MaxWaiting
+}
+
+// awaitAnswer waits, without reading, until a response is complete. It returns false if the
+// caller has left meanwhile.
+func (c *conn) awaitAnswer() bool {
+	ticker := time.NewTicker(leaveCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.answered:
+			return true
+		case <-c.ctx.Done():
+			return false
+		case <-ticker.C:
+			if closedByRemote(c.nc) {
+				c.cancel()
+				return false
+			}
+		}
+	}
+}
+
+// awaitRequest waits for the first byte of a request. It returns false if the connection is
+// to be closed: the caller has left, it was idle for too long, or the server stops.
+func (c *conn) awaitRequest() bool {
+	for {
+		c.setReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
+		if c.server.closing.Load() && c.idle() {
+			return false
+		}
+		_, err := c.br.Peek(1)
+		switch {
+		case err == nil:
+			return !c.pipeline.closing()
+		case !isTimeout(err):
+			c.callerLeft(err)
+			return false
+		case c.pipeline.closing() || c.idleTooLong():
+			return false
+		}
+	}
+}
+
+// idle reports whether every response is complete.
+func (c *conn) idle() bool {
+	count, _ := c.pipeline.load()
+	return count == 0
+}
+
+func (c *conn) idleTooLong() bool {
+	last := time.Unix(0, c.lastAnswer.Load())
+	return c.idle() && time.Since(last) >= c.server.cfg.IdleTimeout
+}
+
+// callerLeft reports whether err, from reading, means that the caller closed the connection,
+// and if so cancels the requests in progress. Responses that are complete are still written
+// unless the connection was reset.
+func (c *conn) callerLeft(err error) bool {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !isReset(err) {
+		return false
+	}
+	c.cancel()
+	if isReset(err) {
+		c.pipeline.end()
+	}
+	return true
+}
+
+// readRequest reads one request. Its first byte is there. The caller releases the exchange,
+// also after an error.
+func (c *conn) readRequest() (*Exchange, error) {
+	x := acquireExchange(c.ctx, c.in.last)
+	c.setReadDeadline(time.Now().Add(c.server.cfg.ReadTimeout))
+	req := &x.Request
+	if err := req.Header.Read(c.br); err != nil {
+		return x, err
+	}
+	if err := checkTarget(req.RequestURI()); err != nil {
+		return x, err
+	}
+	x.closes = req.Header.ConnectionClose()
+	if req.MayContinue() {
+		if err := c.sendContinue(); err != nil {
+			return x, err
+		}
+	}
+	// Without pre-parsing, a multipart body is forwarded as it was sent.
+	const preParseMultipart = false
+	if err := req.ContinueReadBody(c.br, c.server.handler.MaxBodyBytes(), preParseMultipart); err != nil {
+		return x, err
+	}
+	x.size = len(req.Header.RawHeaders()) + len(req.Body())
+	return x, nil
+}
+
+// sendContinue writes the interim response that the caller waits for before it sends a body.
+// It waits for its turn, as any response.
+func (c *conn) sendContinue() error {
+	for !c.idle() {
+		if !c.awaitAnswer() {
+			return io.EOF
+		}
+	}
+	if _, err := c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return c.bw.Flush()
+}
+
+// begin starts the exchange of a request that was read, or that could not be read because of
+// err. It returns false if the connection closes before the exchange, which it then does not
+// keep.
+func (c *conn) begin(x *Exchange, err error) bool {
+	concurrent := true
+	if err != nil {
+		x.closes = true
+		x.task = rejection{handler: c.server.handler, exchange: x, err: err}
+	} else {
+		x.task = c.server.handler.Accept(x)
+		concurrent = x.task.Concurrent()
+	}
+	if !c.pipeline.add(x, concurrent) {
+		return false
+	}
+	if x.turn != nil {
+		c.server.addWaiting(1)
+		stats.pipelined.Add(1)
+	}
+	c.tasks.Go(func() { c.run(x) })
+	return true
+}
+
+// rejection is the task of a request that could not be read.
+type rejection struct {
+	handler  Handler
+	exchange *Exchange
+	err      error
+}
+
+// Concurrent implements Task. A rejection reaches no server.
+func (r rejection) Concurrent() bool { return true }
+
+// Deadline implements Task.
+func (r rejection) Deadline() time.Time { return r.exchange.arrived }
+
+// Run implements Task.
+func (r rejection) Run() { r.handler.Reject(r.exchange, r.err) }
+
+// run runs the task of an exchange and writes the response at its turn. It runs on the
+// goroutine of the exchange.
+func (c *conn) run(x *Exchange) {
+	behind := x.turn != nil
+	ran := c.awaitStart(x)
+	if ran {
+		x.task.Run()
+	}
+	c.pipeline.returned(x)
+	if behind {
+		<-x.turn
+	}
+	if ran {
+		c.respond(x)
+	}
+	c.lastAnswer.Store(time.Now().UnixNano())
+	c.pipeline.done(x)
+	if behind {
+		c.server.addWaiting(-1)
+	}
+	releaseExchange(x)
+	select {
+	case c.answered <- struct{}{}:
+	default:
+	}
+}
+
+// awaitStart waits until the exchange may run, or until its deadline: its task then finds that
+// it is too late. It returns false if the exchange must not run.
+func (c *conn) awaitStart(x *Exchange) bool {
+	if x.mayStart != nil {
+		timer := time.NewTimer(time.Until(x.task.Deadline()))
+		defer timer.Stop()
+		select {
+		case <-x.mayStart:
+		case <-timer.C:
+		case <-c.ctx.Done():
+		}
+	}
+	return c.ctx.Err() == nil && c.pipeline.start(x)
+}
+
+// respond writes the response of x, whose turn it is. If that fails, the caller can tell that
+// the response is incomplete, because the connection is cut.
+func (c *conn) respond(x *Exchange) {
+	final, ok := c.pipeline.respond(x, x.closes || x.Response.ConnectionClose() || c.server.stopping())
+	if !ok {
+		_ = x.Response.CloseBodyStream()
+		return
+	}
+	setFraming(x, final)
+	_ = c.nc.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout))
+	err := x.Response.Write(c.bw)
+	if err == nil {
+		err = c.bw.Flush()
+	}
+	switch {
+	case err != nil:
+		_ = x.Response.CloseBodyStream()
+		stats.cut.Add(1)
+		c.abort()
+	case final:
+		c.linger()
+	}
+}
+
+// linger tells the caller that no further response follows and makes the reading goroutine
+// stop reading.
+func (c *conn) linger() {
+	if tcp, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		_ = tcp.CloseWrite()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = true
+	_ = c.nc.SetReadDeadline(pastDeadline)
+}
+
+// setReadDeadline sets the read deadline unless the connection lingers. It is called on the
+// reading goroutine.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingering {
+		_ = c.nc.SetReadDeadline(t)
+	}
+}
+
+// wake makes the reading goroutine check whether the server stops. It may be called from any
+// goroutine.
+func (c *conn) wake() { c.setReadDeadline(pastDeadline) }
+
+// abort cuts the connection and cancels its requests. It may be called from any goroutine.
+func (c *conn) abort() {
+	c.cancel()
+	c.pipeline.end()
+	_ = c.nc.Close()
+}
+
+// finish waits for the exchanges that have started and closes the connection. It runs on the
+// reading goroutine. It reads no further byte: what the caller sends behind the last request
+// stays unread, so that the caller may send it again.
+func (c *conn) finish() {
+	for !c.idle() && c.awaitAnswer() {
+	}
+	if c.ctx.Err() != nil {
+		// The caller left. What is complete may still be written, for a short time.
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.server.cfg.LingerTimeout))
+	}
+	c.tasks.Wait()
+	c.awaitClose()
+	c.cancel()
+	c.pipeline.end()
+	_ = c.nc.Close()
+}
+
+// awaitClose gives the caller LingerTimeout to close a connection after the response that
+// announced its end.
+func (c *conn) awaitClose() {
+	end := time.Now().Add(c.server.cfg.LingerTimeout)
+	for c.lingers() && c.ctx.Err() == nil && !closedByRemote(c.nc) && time.Now().Before(end) {
+		time.Sleep(closeCheckInterval)
+	}
+}
+
+func (c *conn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingering
+}
--- a/journal/blobs/bb4970eb6cae26c1.txt
+++ b/node/callerhttp/http.go
@@ -0,0 +1,98 @@
+package callerhttp
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+)
+
+// errBadTarget reports a request target with a control character.
+var errBadTarget = errors.New("request target has a control character")
+
+// checkTarget rejects a request target that could be read differently by a server.
+func checkTarget(target []byte) error {
+	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
+	if bytes.ContainsFunc(target, isControl) {
+		return errBadTarget
+	}
+	return nil
+}
+
+// setFraming sets the headers of a response that depend on the connection and on the protocol
+// version of the request. final says that the connection closes after the response.
+func setFraming(x *Exchange, final bool) {
+	x.Response.SkipBody = x.Request.Header.IsHead()
+	old := !x.Request.Header.IsHTTP11()
+	switch {
+	case final:
+		x.Response.SetConnectionClose()
+	case old:
+		x.Response.Header.Set(fasthttp.HeaderConnection, "keep-alive")
+	}
+	if old && x.Response.IsBodyStream() {
+		bufferBody(&x.Response)
+	}
+}
+
+// bufferBody reads a streamed body completely, for a caller that does not know chunked
+// encoding. If the stream fails, the response becomes status 502.
+func bufferBody(resp *fasthttp.Response) {
+	body, err := io.ReadAll(resp.BodyStream())
+	_ = resp.CloseBodyStream()
+	if err != nil {
+		resp.Reset()
+		resp.SetStatusCode(fasthttp.StatusBadGateway)
+		return
+	}
+	resp.SetBodyRaw(body)
+}
+
+// isTimeout reports whether err is an expired deadline.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// isReset reports whether err means that the connection was reset or closed on this side.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT) ||
+		errors.Is(err, net.ErrClosed)
+}
+
+// isTemporary reports whether accepting may succeed again later.
+func isTemporary(err error) bool {
+	for _, errno := range []syscall.Errno{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.ECONNABORTED, syscall.EINTR, syscall.EAGAIN, syscall.EPROTO,
+	} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// closedByRemote reports whether the other end closed conn, also if bytes are unread before
+// the end. It consumes no data.
+func closedByRemote(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0
+	})
+	return closed || err != nil
+}
--- a/journal/blobs/0304c3be45981fdd.txt
+++ b/node/callerhttp/metrics.go
@@ -0,0 +1,33 @@
+package callerhttp
+
+import "expvar"
+
+// stats holds the counters and gauges of all servers of this process. They are published under
+// the key "callers" of /debug/vars.
+var stats = newStats()
+
+type serverStats struct {
+	// connections is the number of open connections of callers.
+	connections expvar.Int
+	// waiting is the number of requests that were read behind an unanswered one of their
+	// connection and whose response is not complete.
+	waiting expvar.Int
+	// pipelined counts the requests that were read behind an unanswered one.
+	pipelined expvar.Int
+	// paused counts how often a connection was not read because too many of its requests, or
+	// of all connections, were unanswered.
+	paused expvar.Int
+	// cut counts the responses that could not be written completely.
+	cut expvar.Int
+}
+
+func newStats() *serverStats {
+	s := &serverStats{}
+	vars := expvar.NewMap("callers")
+	vars.Set("connections", &s.connections)
+	vars.Set("waiting_for_turn", &s.waiting)
+	vars.Set("pipelined", &s.pipelined)
+	vars.Set("paused", &s.paused)
+	vars.Set("cut", &s.cut)
+	return s
+}
--- a/journal/blobs/f55f67e1b78d2865.txt
+++ b/node/callerhttp/server.go
@@ -0,0 +1,236 @@
+// Package callerhttp serves the HTTP/1.1 connections of callers. Requests that a caller sends
+// before its earlier ones have been answered (pipelining) run concurrently where that is safe;
+// responses are written whole and in the order of the requests.
+//
+// Each connection has one goroutine that reads, and one for each request in progress. Because
+// the reading goroutine goes on while requests run, it learns at once that the caller left.
+package callerhttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Config holds the limits of a Server.
+type Config struct {
+	// MaxConnections is the largest number of open connections. Further ones get status 503
+	// and are closed. Each costs the read buffer, the write buffer and a goroutine.
+	MaxConnections int
+	// MaxHeaderBytes is the size of the read buffer in bytes, which limits the head of a
+	// request.
+	MaxHeaderBytes int
+	// MaxPipelined is the largest number of requests of one connection that have no complete
+	// response yet. More lets a caller have more in progress, but holds more memory for
+	// responses that wait for their turn. Further requests stay unread.
+	MaxPipelined int
+	// MaxPipelinedBytes is the number of bytes of unanswered requests from which a connection
+	// reads no further one.
+	MaxPipelinedBytes int
+	// MaxWaiting is the largest number of requests of all connections that are behind an
+	// unanswered one. When it is reached, connections serve their requests one at a time.
+	MaxWaiting int64
+	// ReadTimeout limits the time from the first byte of a request to its last one.
+	ReadTimeout time.Duration
+	// WriteTimeout limits the time in which a caller takes a response.
+	WriteTimeout time.Duration
+	// IdleTimeout is how long a connection without a request is kept. Longer saves
+	// connection set-ups, shorter saves memory.
+	IdleTimeout time.Duration
+	// LingerTimeout is how long the caller may take to close a connection after its last
+	// response. Closing it before that, with unread bytes, would reset it and could destroy
+	// that response.
+	LingerTimeout time.Duration
+}
+
+// DefaultConfig returns the limits of a node in production.
+func DefaultConfig() Config {
+	return Config{
+		MaxConnections:    16 << 10,
+		MaxHeaderBytes:    16 << 10,
+		MaxPipelined:      32,
+		MaxPipelinedBytes: 1 << 20,
+		MaxWaiting:        512,
+		ReadTimeout:       30 * time.Second,
+		WriteTimeout:      10 * time.Minute,
+		IdleTimeout:       2 * time.Minute,
+		LingerTimeout:     time.Second,
+	}
+}
+
+// Handler serves the requests of a Server. Its methods must be safe for concurrent use.
+type Handler interface {
+	// MaxBodyBytes returns the largest request body in bytes. It is called on the reading
+	// goroutine for each request that has a body.
+	MaxBodyBytes() int
+	// Accept returns the task of a request that was read completely. It is called on the
+	// reading goroutine and must not wait.
+	Accept(x *Exchange) Task
+	// Reject sets the response to a request that could not be read because of err. The
+	// connection is closed after it.
+	Reject(x *Exchange, err error)
+	// Stopping reports whether connections are to be closed after the requests in progress.
+	Stopping() bool
+}
+
+// Task is the work of one request. Concurrent and Deadline are called before Run and return
+// constants.
+type Task interface {
+	// Concurrent reports whether the request may run while others of its connection do, and
+	// may run again if its response is not delivered. It must be false for a request that is
+	// not idempotent.
+	Concurrent() bool
+	// Deadline is when the caller stops waiting. A request that still waits for earlier ones
+	// then is run at once, so that it can be refused.
+	Deadline() time.Time
+	// Run sets the response. It is called at most once, on a goroutine of the request.
+	Run()
+}
+
+// Server serves connections. Create it with New.
+type Server struct {
+	cfg     Config
+	handler Handler
+	// waiting is the number of exchanges that were read behind an unanswered one.
+	waiting atomic.Int64
+	closing atomic.Bool
+	tasks   conc.WaitGroup
+	// waiters are the calls of Shutdown that wait for tasks.
+	waiters conc.WaitGroup
+
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	listeners []net.Listener
+}
+
+// New returns a server without listeners.
+func New(cfg Config, h Handler) *Server {
+	return &Server{cfg: cfg, handler: h, conns: make(map[*conn]struct{})}
+}
+
+// Waiting returns the number of requests that were read behind an unanswered one of their
+// connection and whose response is not complete.
+func (s *Server) Waiting() int64 { return s.waiting.Load() }
+
+// addWaiting changes the number of waiting requests.
+func (s *Server) addWaiting(n int64) {
+	s.waiting.Add(n)
+	stats.waiting.Add(n)
+}
+
+const (
+	// minAcceptPause and maxAcceptPause bound the pause after a failed accept, for example
+	// while the process has no free file descriptor.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// Serve accepts connections until l is closed or Shutdown is called, for which it returns nil.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.addListener(l) {
+		return nil
+	}
+	pause := minAcceptPause
+	for {
+		nc, err := l.Accept()
+		switch {
+		case err == nil:
+			pause = minAcceptPause
+			s.start(nc)
+		case errors.Is(err, net.ErrClosed) || s.closing.Load():
+			return nil
+		case isTimeout(err) || isTemporary(err):
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+		default:
+			return fmt.Errorf("accept a caller's connection: %w", err)
+		}
+	}
+}
+
+// addListener registers a listener for Shutdown. It returns false after Shutdown.
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing.Load() {
+		_ = l.Close()
+		return false
+	}
+	s.listeners = append(s.listeners, l)
+	return true
+}
+
+// tooManyConnections is the response on a connection above the limit.
+const tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// start serves a new connection on a goroutine of its own.
+func (s *Server) start(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing.Load() || len(s.conns) >= s.cfg.MaxConnections {
+		// The socket's buffer is empty, so the write does not wait.
+		_, _ = nc.Write([]byte(tooManyConnections))
+		_ = nc.Close()
+		return
+	}
+	c := newConn(s, nc)
+	s.conns[c] = struct{}{}
+	stats.connections.Add(1)
+	s.tasks.Go(func() {
+		defer s.remove(c)
+		c.serve()
+	})
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	stats.connections.Add(-1)
+}
+
+// Shutdown closes the listeners, lets the requests in progress finish, and closes all
+// connections. When ctx ends before that, it closes the rest, cancels their requests and
+// returns an error without waiting for them. It may be called repeatedly.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.listeners = nil
+	for c := range s.conns {
+		c.wake()
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	s.waiters.Go(func() {
+		s.tasks.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		s.closeAll()
+		return fmt.Errorf("connections of callers were cut: %w", context.Cause(ctx))
+	}
+}
+
+// closeAll closes all connections at once.
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.abort()
+	}
+}
+
+// stopping reports whether connections are to be closed after the requests in progress.
+func (s *Server) stopping() bool { return s.closing.Load() || s.handler.Stopping() }
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/statusapi"
+	"auburnladder.example/node/callerhttp"
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/decisions"
 	"auburnladder.example/node/distribution"
@@ -27,7 +28,6 @@
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/rs/zerolog"
-	"github.com/valyala/fasthttp"
 )
 
 // protocolVersion is the version of the messages between nodes, sent in each Hello.
@@ -65,7 +65,7 @@
 	// tls is nil if connections between nodes are plaintext.
 	tls *peertls.Transport
 	// callerServers are the HTTP servers that accept requests of callers.
-	callerServers []*fasthttp.Server
+	callerServers []*callerhttp.Server
 	// ingresses are the request handlers of callerServers.
 	ingresses []*ingress.Ingress
 	router    *ingress.Router
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -78,8 +78,12 @@
 // run carries out the attempt and sets reply, err and outcome.
 func (a *attempt) run() {
 	if err := a.openStream(); err != nil {
-		a.err = verdict.Wrap(verdict.NotRun, err)
 		a.outcome.Kind = routing.Unreachable
+		if a.call.callerDisconnected() {
+			err = errCallerDisconnected
+			a.outcome.Kind = routing.Cancelled
+		}
+		a.err = verdict.Wrap(verdict.NotRun, err)
 		return
 	}
 	if err := a.exchange(); err != nil {
@@ -92,7 +96,7 @@
 
 // openStream opens a stream to the server's node. It sends no byte of the request.
 func (a *attempt) openStream() error {
-	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	ctx, cancel := context.WithDeadline(a.call.exchange.Context(), a.deadline)
 	defer cancel()
 	ses, err := a.call.ingress.Sessions.Get(ctx, a.endpoint.VM, a.endpoint.Peer)
 	if err != nil {
--- a/node/proxy/ingress/body.go
+++ b/node/proxy/ingress/body.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -30,12 +31,17 @@
 	total   uint64 // bytes received
 	last    bool   // the last part has been received
 	err     error  // returned by all further reads
+	// caller ends when the caller disconnects, which interrupts a pending read.
+	caller       context.Context
+	stopWatching func() bool
 }
 
 // newBodyReader returns a reader that starts with the part of the body in a's reply.
 func newBodyReader(a *attempt) *bodyReader {
 	inline := a.reply.GetBody()
-	return &bodyReader{attempt: a, pending: inline, total: uint64(len(inline))}
+	caller := a.call.exchange.Context()
+	stop := context.AfterFunc(caller, func() { a.stream.SetDeadline(pastDeadline) })
+	return &bodyReader{attempt: a, pending: inline, total: uint64(len(inline)), caller: caller, stopWatching: stop}
 }
 
 // Read implements io.Reader. It never returns 0 bytes without an error.
@@ -54,10 +60,13 @@
 	return n, nil
 }
 
-// readPart reads the next part, checks it against the limit and the total, and reports the
+// readPart reads the next part unless the caller has disconnected, checks it against the limit and the total, and reports the
 // progress to the server's node.
 func (r *bodyReader) readPart() error {
 	r.attempt.stream.SetDeadline(time.Now().Add(bodyIdleTimeout))
+	if r.caller.Err() != nil {
+		return r.truncated(errCallerDisconnected)
+	}
 	r.part.Reset()
 	if err := r.attempt.stream.Recv(&r.part); err != nil {
 		return r.truncated(err)
@@ -93,6 +102,7 @@
 // Close implements io.Closer. fasthttp calls it after the response has been sent, or when
 // the caller disconnects before that.
 func (r *bodyReader) Close() error {
+	r.stopWatching()
 	if !r.last && r.err == nil {
 		r.attempt.outcome.Kind = routing.Cancelled
 	}
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -11,6 +11,7 @@
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/callerhttp"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
 	"github.com/rs/zerolog"
@@ -54,10 +55,10 @@
 // call is one request of a caller with all its attempts. It belongs to the goroutine of the
 // request.
 type call struct {
-	ingress *Ingress
-	ctx     *fasthttp.RequestCtx
-	match   *mesh.Match
-	message *peerpb.Call
+	ingress  *Ingress
+	exchange *callerhttp.Exchange
+	match    *mesh.Match
+	message  *peerpb.Call
 	// target is the service that runs the request.
 	target *mesh.Service
 	// objective is the time until which a response meets the route's latency objective.
@@ -103,14 +104,27 @@
 			last.finish()
 		}
 		c.tried = append(c.tried, picked.Endpoint)
-		time.Sleep(decision.Wait)
+		c.backOff(decision.Wait)
+	}
+}
+
+// backOff waits before the next attempt, unless the caller disconnects.
+func (c *call) backOff(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.exchange.Context().Done():
 	}
 }
 
 // callerDisconnected reports whether the caller closed its connection, for example while
 // its request waited to be read.
 func (c *call) callerDisconnected() bool {
-	return closedByRemote(c.ctx.Conn())
+	return c.exchange.Context().Err() != nil
 }
 
 // recordRetryAfter keeps the shortest time after which a server may accept the request.
@@ -141,7 +155,7 @@
 
 // requestID returns the request ID from the caller's header, or "" if there is none.
 func (c *call) requestID() string {
-	return string(c.ctx.Request.Header.Peek(cmp.Or(c.ingress.Headers.RequestID, proxy.RequestIDHeader)))
+	return string(c.exchange.Request.Header.Peek(cmp.Or(c.ingress.Headers.RequestID, proxy.RequestIDHeader)))
 }
 
 // result returns the last attempt if it has a response, and its error otherwise. a is nil if
@@ -189,19 +203,19 @@
 	}
 }
 
-// newCallMessage returns the call message for the request of ctx. It refers to memory of
-// ctx and is valid only until the handler returns.
-func newCallMessage(ctx *fasthttp.RequestCtx, snap *mesh.Snapshot, m *mesh.Match, caller string) *peerpb.Call {
+// newCallMessage returns the call message for a request. It refers to memory of req and is
+// valid only until the task of the request returns.
+func newCallMessage(req *fasthttp.Request, snap *mesh.Snapshot, m *mesh.Match, caller string) *peerpb.Call {
 	return &peerpb.Call{
 		Id:               rand.Uint64(),
 		Route:            m.Route.Name,
-		Method:           string(ctx.Method()),
-		Uri:              string(ctx.RequestURI()),
-		Host:             string(ctx.Host()),
-		Headers:          forwardedHeaders(&ctx.Request.Header),
-		Body:             ctx.PostBody(),
+		Method:           string(req.Header.Method()),
+		Uri:              string(req.RequestURI()),
+		Host:             string(req.URI().Host()),
+		Headers:          forwardedHeaders(&req.Header),
+		Body:             req.Body(),
 		Caller:           caller,
-		Traceparent:      string(ctx.Request.Header.Peek("Traceparent")),
+		Traceparent:      string(req.Header.Peek("Traceparent")),
 		Release:          &peerpb.Version{Sequence: snap.Version.Sequence, Digest: snap.Version.Digest[:]},
 		Idempotent:       m.Route.Idempotent,
 		Priority:         string(m.Owner.Priority),
--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -17,13 +17,13 @@
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/callerhttp"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 )
 
 // handler simulates how the node of a backend server handles one call.
@@ -118,7 +118,7 @@
 type fleet struct {
 	t       testing.TB
 	ingress *Ingress
-	http    *fasthttp.Server
+	http    *callerhttp.Server
 	addr    string
 	mu      sync.Mutex
 	peers   map[string]*fakePeer
@@ -187,12 +187,19 @@
 		f.t.Fatal(err)
 	}
 	f.addr = l.Addr().String()
-	f.http = f.ingress.NewServer()
+	f.http = f.ingress.NewServer(callerhttp.DefaultConfig())
 	f.tasks.Go(func() { _ = f.http.Serve(l) })
 }
 
+// shutdown lets the requests in progress finish.
+func (f *fleet) shutdown(srv *callerhttp.Server) {
+	if err := srv.Shutdown(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *fleet) close() {
-	_ = f.http.Shutdown()
+	f.shutdown(f.http)
 	f.mu.Lock()
 	for _, p := range f.peers {
 		if p.link != nil {
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -7,10 +7,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math"
 	"net/netip"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +33,8 @@
 	Retire(vm string, ses *session.Session)
 }
 
-// Ingress handles the requests of one caller listener. Handle is safe for concurrent use.
-// The exported fields are set before the first request and not changed afterwards.
+// Ingress handles the requests of one caller listener. It implements
+// callerhttp.Handler. The exported fields are set before the first request and not changed afterwards.
 type Ingress struct {
 	State    *state.State
 	Sessions Sessions
@@ -55,9 +53,9 @@
 	Decisions *decisions.Log
 	// Headers holds the names of the headers that callers and servers use.
 	Headers wirenames.Headers
-	// Stopping reports whether the node is draining, in which case each response closes
-	// the caller's connection; nil means never.
-	Stopping func() bool
+	// Draining reports whether the node is draining, in which case connections of callers are
+	// closed after the requests in progress; nil means never.
+	Draining func() bool
 	// Closed reports whether new requests are refused because the node is about to exit;
 	// nil means never.
 	Closed func() bool
@@ -68,67 +66,21 @@
 	splitCount atomic.Uint64
 }
 
-// Handle serves one request. fasthttp calls it on the goroutine of the connection.
-func (g *Ingress) Handle(ctx *fasthttp.RequestCtx) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
-	g.serve(ctx)
-	if g.Stopping != nil && g.Stopping() {
-		ctx.SetConnectionClose()
-	}
-	if g.OnServerError != nil && ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError {
-		g.OnServerError()
-	}
-}
-
 // Active returns the number of requests in flight.
 func (g *Ingress) Active() int64 { return g.active.Load() }
 
-// serve refuses or forwards a request. The request uses one snapshot throughout.
-func (g *Ingress) serve(ctx *fasthttp.RequestCtx) {
-	if g.Closed != nil && g.Closed() {
-		g.refuse(ctx, fasthttp.StatusServiceUnavailable, "this node is about to end")
-		return
-	}
-	snap := g.State.Snapshot()
-	if snap == nil || g.configStale() {
-		g.refuse(ctx, fasthttp.StatusServiceUnavailable, "this node holds no current release yet")
-		return
-	}
-	m := snap.MatchRoute(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
-	if m == nil {
-		g.refuse(ctx, fasthttp.StatusNotFound, "no route matches this host, method and path")
-		return
-	}
-	if !m.Owner.Allows(g.Caller) {
-		g.refuse(ctx, fasthttp.StatusForbidden, fmt.Sprintf("caller %q may not call service %q", g.Caller, m.Owner.Name))
-		return
-	}
-	if int64(len(ctx.PostBody())) > m.Resource.MaxRequestBytes {
-		g.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body is above %d bytes", m.Resource.MaxRequestBytes))
-		return
-	}
-	g.forward(ctx, snap, m)
-}
-
-// configStale reports whether the node must first check with its peers for newer
-// configuration.
-func (g *Ingress) configStale() bool {
-	return g.State.Resyncing() || g.Paused != nil && g.Paused(time.Now())
-}
-
 // forward runs a request as a call and writes the response or the failure.
-func (g *Ingress) forward(ctx *fasthttp.RequestCtx, snap *mesh.Snapshot, m *mesh.Match) {
-	now := time.Now()
+func (g *Ingress) forward(r *request) {
+	x, m := r.exchange, r.match
 	target := g.pickTarget(m)
 	c := call{
 		ingress:   g,
-		ctx:       ctx,
+		exchange:  x,
 		match:     m,
 		target:    target,
-		message:   newCallMessage(ctx, snap, m, g.Caller),
-		objective: now.Add(m.Route.Objective.Duration()),
-		retry:     retry.NewCall(&g.Router.Retry, m.Route, g.Router.Budget(target.Name), now.Add(g.requestTimeout(ctx, m))),
+		message:   newCallMessage(&x.Request, r.snapshot, m, g.Caller),
+		objective: x.Arrived().Add(m.Route.Objective.Duration()),
+		retry:     retry.NewCall(&g.Router.Retry, m.Route, g.Router.Budget(target.Name), r.deadline),
 	}
 	c.message.Service = target.Name
 	g.dropNodeHeaders(c.message)
@@ -138,14 +90,14 @@
 	a, err := c.run()
 	if err != nil {
 		span.End(verdict.Of(err), err)
-		g.failCall(ctx, &c, err)
+		g.failCall(&c, err)
 	} else {
 		span.End(verdict.Ran, nil)
 		metrics.answered.Add(1)
-		g.logResponse(&c, a, now)
-		writeResponse(ctx, a)
+		g.logResponse(&c, a, x.Arrived())
+		writeResponse(&x.Response, a)
 	}
-	nodemetrics.ObserveRequest(target.Name, ctx.Response.StatusCode(), time.Since(now))
+	nodemetrics.ObserveRequest(target.Name, x.Response.StatusCode(), time.Since(x.Arrived()))
 }
 
 // logResponse logs which server responded and how the call was routed to it.
@@ -160,18 +112,19 @@
 }
 
 // failCall logs and writes the failure of a call that has no response from a server.
-func (g *Ingress) failCall(ctx *fasthttp.RequestCtx, c *call, err error) {
+func (g *Ingress) failCall(c *call, err error) {
+	resp := &c.exchange.Response
 	v := verdict.Of(err)
 	countFailure(v)
 	c.addFields(g.Decisions.Warn("request-failed")).Err(err).Stringer("verdict", v).
 		Dur("left_ms", c.retry.Remaining(time.Now())).Dur("retry_after_ms", c.retryAfter).Msg("call failed without a response from a server")
 	if errors.Is(err, errCallerDisconnected) {
 		metrics.callerDisconnected.Add(1)
-		ctx.SetConnectionClose()
+		resp.SetConnectionClose()
 	}
-	writeFailure(ctx, failureStatus(v, err), v, err.Error())
+	writeFailure(resp, failureStatus(v, err), v, err.Error())
 	if c.retryAfter > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, g.formatRetryAfter(c.retryAfter))
+		resp.Header.Set(fasthttp.HeaderRetryAfter, g.formatRetryAfter(c.retryAfter))
 	}
 }
 
@@ -189,20 +142,6 @@
 	return m.Pick(position)
 }
 
-// requestTimeout returns how long the request may take: the route's deadline, or the
-// deadline in the caller's header if that is shorter.
-func (g *Ingress) requestTimeout(ctx *fasthttp.RequestCtx, m *mesh.Match) time.Duration {
-	limit := m.Route.Deadline.Duration()
-	if g.Headers.Deadline == "" {
-		return limit
-	}
-	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(g.Headers.Deadline)), 10, 32)
-	if err != nil {
-		return limit
-	}
-	return min(limit, time.Duration(ms)*time.Millisecond)
-}
-
 // countFailure counts a failed call by its verdict.
 func countFailure(v verdict.Verdict) {
 	switch v {
--- a/node/proxy/ingress/ingress_test.go
+++ b/node/proxy/ingress/ingress_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/callerhttp"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	. "github.com/smartystreets/goconvey/convey"
@@ -287,12 +288,13 @@
 	Convey("A caller that never completes its request gets a 4xx status or a closed connection", t, func() {
 		f := newFleet(t, replyOK)
 		defer f.close()
-		server := f.ingress.NewServer()
-		server.ReadTimeout = 100 * time.Millisecond
+		cfg := callerhttp.DefaultConfig()
+		cfg.ReadTimeout = 100 * time.Millisecond
+		server := f.ingress.NewServer(cfg)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		f.tasks.Go(func() { _ = server.Serve(l) })
-		defer func() { _ = server.Shutdown() }()
+		defer f.shutdown(server)
 		for _, text := range []string{"GET / HTTP/1.1\r\nHost: progr", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 9\r\n\r\nhalf"} {
 			conn, err := net.Dial("tcp", l.Addr().String())
 			So(err, ShouldBeNil)
@@ -349,10 +351,10 @@
 // Guards against an invalid JSON body when the detail from a peer is not valid UTF-8.
 func TestFailureBodyIsJSON(t *testing.T) {
 	Convey("A reason that is not valid UTF-8 still gives valid JSON", t, func() {
-		var ctx fasthttp.RequestCtx
-		writeFailure(&ctx, fasthttp.StatusBadGateway, verdict.MayHaveRun, "peer said \x00\xff\"quoted\"")
+		var resp fasthttp.Response
+		writeFailure(&resp, fasthttp.StatusBadGateway, verdict.MayHaveRun, "peer said \x00\xff\"quoted\"")
 		var body failureBody
-		So(json.Unmarshal(ctx.Response.Body(), &body), ShouldBeNil)
+		So(json.Unmarshal(resp.Body(), &body), ShouldBeNil)
 		So(body.Status, ShouldEqual, fasthttp.StatusBadGateway)
 		So(body.Verdict, ShouldEqual, "may-have-run")
 		So(body.Reason, ShouldContainSubstring, "\"quoted\"")
--- a/journal/blobs/855732ecac5e31d2.txt
+++ b/node/proxy/ingress/request.go
@@ -0,0 +1,100 @@
+package ingress
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/node/callerhttp"
+	"github.com/valyala/fasthttp"
+)
+
+// request is one request of a caller with the configuration that applied when it was read. It
+// implements callerhttp.Task.
+type request struct {
+	ingress  *Ingress
+	exchange *callerhttp.Exchange
+	// snapshot is the release that applies to the request throughout; nil if there was none.
+	snapshot *mesh.Snapshot
+	// match is the route; nil if there is none.
+	match    *mesh.Match
+	deadline time.Time
+}
+
+// Accept implements callerhttp.Handler.
+func (g *Ingress) Accept(x *callerhttp.Exchange) callerhttp.Task {
+	r := &request{ingress: g, exchange: x, snapshot: g.State.Snapshot(), deadline: x.Arrived()}
+	if r.snapshot == nil {
+		return r
+	}
+	uri := x.Request.URI()
+	r.match = r.snapshot.MatchRoute(string(uri.Host()), string(x.Request.Header.Method()), string(uri.Path()))
+	if r.match != nil {
+		r.deadline = x.Arrived().Add(g.requestTimeout(x, r.match))
+	}
+	return r
+}
+
+// requestTimeout returns how long the request may take: the route's deadline, or the
+// deadline in the caller's header if that is shorter.
+func (g *Ingress) requestTimeout(x *callerhttp.Exchange, m *mesh.Match) time.Duration {
+	limit := m.Route.Deadline.Duration()
+	if g.Headers.Deadline == "" {
+		return limit
+	}
+	ms, err := strconv.ParseInt(string(x.Request.Header.Peek(g.Headers.Deadline)), 10, 32)
+	if err != nil {
+		return limit
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond)
+}
+
+// Concurrent implements callerhttp.Task. A request without a route reaches no server.
+func (r *request) Concurrent() bool { return r.match == nil || r.match.Route.Idempotent }
+
+// Deadline implements callerhttp.Task.
+func (r *request) Deadline() time.Time { return r.deadline }
+
+// Run implements callerhttp.Task. It sets the response.
+func (r *request) Run() {
+	g := r.ingress
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if status, reason := r.check(); status != 0 {
+		g.refuse(r.exchange, status, reason)
+	} else {
+		g.forward(r)
+	}
+	if g.OnServerError != nil && r.exchange.Response.StatusCode() >= fasthttp.StatusInternalServerError {
+		g.OnServerError()
+	}
+}
+
+// check returns the status and the reason with which the request must be refused without
+// reaching a server, or 0.
+func (r *request) check() (status int, reason string) {
+	g, m := r.ingress, r.match
+	switch {
+	case g.Closed != nil && g.Closed():
+		return fasthttp.StatusServiceUnavailable, "this node is about to end"
+	case r.snapshot == nil || g.configStale():
+		return fasthttp.StatusServiceUnavailable, "this node holds no current release yet"
+	case m == nil:
+		return fasthttp.StatusNotFound, "no route matches this host, method and path"
+	case !m.Owner.Allows(g.Caller):
+		return fasthttp.StatusForbidden, fmt.Sprintf("caller %q may not call service %q", g.Caller, m.Owner.Name)
+	case int64(len(r.exchange.Request.Body())) > m.Resource.MaxRequestBytes:
+		return fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body is above %d bytes", m.Resource.MaxRequestBytes)
+	case !time.Now().Before(r.deadline):
+		return fasthttp.StatusServiceUnavailable, "its deadline passed before it could start"
+	default:
+		return 0, ""
+	}
+}
+
+// configStale reports whether the node must first check with its peers for newer
+// configuration.
+func (g *Ingress) configStale() bool {
+	return g.State.Resyncing() || g.Paused != nil && g.Paused(time.Now())
+}
--- a/node/proxy/ingress/response.go
+++ b/node/proxy/ingress/response.go
@@ -6,6 +6,7 @@
 	"errors"
 
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/node/callerhttp"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
 	"github.com/valyala/fasthttp"
@@ -44,10 +45,10 @@
 
 // writeResponse writes a server's response to the caller and finishes the attempt. A
 // streamed response finishes the attempt when its body is closed.
-func writeResponse(ctx *fasthttp.RequestCtx, a *attempt) {
-	h := &ctx.Response.Header
+func writeResponse(resp *fasthttp.Response, a *attempt) {
+	h := &resp.Header
 	h.SetNoDefaultContentType(true)
-	ctx.SetStatusCode(int(a.reply.GetStatus()))
+	resp.SetStatusCode(int(a.reply.GetStatus()))
 	for _, field := range a.reply.GetHeaders() {
 		if proxy.EndToEnd(field.GetName()) {
 			h.Add(field.GetName(), field.GetValue())
@@ -55,20 +56,20 @@
 	}
 	h.Set(verdict.Header, verdict.Ran.String())
 	if a.reply.GetMore() {
-		ctx.SetBodyStream(newBodyReader(a), -1)
+		resp.SetBodyStream(newBodyReader(a), -1)
 		return
 	}
-	ctx.Response.SetBodyRaw(a.reply.GetBody())
+	resp.SetBodyRaw(a.reply.GetBody())
 	a.finish()
 }
 
 // refuse writes the failure of a request that this node did not forward.
-func (g *Ingress) refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
+func (g *Ingress) refuse(x *callerhttp.Exchange, status int, reason string) {
 	metrics.notRun.Add(1)
 	g.Decisions.Warn("request-refused").
-		Bytes("request", ctx.Request.Header.Peek(cmp.Or(g.Headers.RequestID, proxy.RequestIDHeader))).
-		Str("caller", g.Caller).Bytes("host", ctx.Host()).Bytes("path", ctx.Path()).Int("status", status).Msg(reason)
-	writeFailure(ctx, status, verdict.NotRun, reason)
+		Bytes("request", x.Request.Header.Peek(cmp.Or(g.Headers.RequestID, proxy.RequestIDHeader))).
+		Str("caller", g.Caller).Bytes("host", x.Request.URI().Host()).Bytes("path", x.Request.URI().Path()).Int("status", status).Msg(reason)
+	writeFailure(&x.Response, status, verdict.NotRun, reason)
 }
 
 // failureBody is the JSON body of a response that a node generates itself.
@@ -78,13 +79,13 @@
 	Reason  string `json:"reason"`
 }
 
-// writeFailure replaces the response of ctx by one that this node generates.
-func writeFailure(ctx *fasthttp.RequestCtx, status int, v verdict.Verdict, reason string) {
+// writeFailure replaces resp by a response that this node generates.
+func writeFailure(resp *fasthttp.Response, status int, v verdict.Verdict, reason string) {
 	// Encoding two strings and a number cannot fail.
 	body, _ := json.Marshal(failureBody{Status: status, Verdict: v.String(), Reason: reason})
-	ctx.Response.Reset()
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(append(body, '\n'))
-	ctx.Response.Header.Set(verdict.Header, v.String())
+	resp.Reset()
+	resp.SetStatusCode(status)
+	resp.Header.SetContentType("application/json")
+	resp.SetBody(append(body, '\n'))
+	resp.Header.Set(verdict.Header, v.String())
 }
--- a/node/proxy/ingress/server.go
+++ b/node/proxy/ingress/server.go
@@ -3,78 +3,52 @@
 import (
 	"errors"
 	"net"
-	"time"
 
+	"auburnladder.example/node/callerhttp"
 	"github.com/valyala/fasthttp"
 )
 
-const (
-	// maxHeaderBytes limits the head of a caller's request.
-	maxHeaderBytes = 16 << 10
-	// maxBodyBytes limits a request body while it is read, before the route's own limit
-	// applies. Client limits in the release replace it.
-	maxBodyBytes = 1 << 20
-	// maxCallerConnections limits the caller connections that are served at once.
-	maxCallerConnections = 16 << 10
-	// readTimeout limits how long a caller may take to send a request.
-	readTimeout = 30 * time.Second
-	// writeTimeout limits how long a caller may take to read a response.
-	writeTimeout = 10 * time.Minute
-	// idleTimeout limits how long a caller's connection may be idle.
-	idleTimeout = 2 * time.Minute
-)
+// defaultMaxBodyBytes limits a request body while it is read, before the route's own limit
+// applies. Client limits in the release replace it.
+const defaultMaxBodyBytes = 1 << 20
 
 // NewServer returns an HTTP server that passes callers' requests to g. The caller of
 // NewServer starts it and shuts it down.
-func (g *Ingress) NewServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:               g.Handle,
-		ErrorHandler:          g.refuseReadError,
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		HeaderReceived:        g.requestLimits,
-		Concurrency:           maxCallerConnections,
-		ReadTimeout:           readTimeout,
-		WriteTimeout:          writeTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                discardLogger{},
-	}
+func (g *Ingress) NewServer(cfg callerhttp.Config) *callerhttp.Server {
+	return callerhttp.New(cfg, g)
 }
 
-// requestLimits applies the body limit for clients from the active release, if it has one.
-func (g *Ingress) requestLimits(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+// MaxBodyBytes implements callerhttp.Handler. It returns the body limit for clients from the
+// active release, if it has one.
+func (g *Ingress) MaxBodyBytes() int {
 	snap := g.State.Snapshot()
 	if snap == nil {
-		return fasthttp.RequestConfig{}
+		return defaultMaxBodyBytes
 	}
 	limits := snap.ClientLimits()
-	if limits == nil {
-		return fasthttp.RequestConfig{}
+	if limits == nil || limits.BodyBytes <= 0 {
+		return defaultMaxBodyBytes
 	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: int(limits.BodyBytes)}
+	return int(limits.BodyBytes)
 }
 
-// refuseReadError refuses a request that could not be read as HTTP. fasthttp closes the
-// connection afterwards.
-func (g *Ingress) refuseReadError(ctx *fasthttp.RequestCtx, err error) {
+// Stopping implements callerhttp.Handler.
+func (g *Ingress) Stopping() bool { return g.Draining != nil && g.Draining() }
+
+// Reject implements callerhttp.Handler. It refuses a request that could not be read as HTTP.
+func (g *Ingress) Reject(x *callerhttp.Exchange, err error) {
 	var small *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
 	case errors.As(err, &small):
-		g.refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "head of the request is too large")
+		g.refuse(x, fasthttp.StatusRequestHeaderFieldsTooLarge, "head of the request is too large")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		g.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "body is too large")
+		g.refuse(x, fasthttp.StatusRequestEntityTooLarge, "body is too large")
 	case errors.As(err, &netErr) && netErr.Timeout():
-		g.refuse(ctx, fasthttp.StatusRequestTimeout, "request came too slowly")
+		g.refuse(x, fasthttp.StatusRequestTimeout, "request came too slowly")
 	default:
-		g.refuse(ctx, fasthttp.StatusBadRequest, "request is not valid HTTP")
+		g.refuse(x, fasthttp.StatusBadRequest, "request is not valid HTTP")
 	}
 }
 
-// discardLogger discards fasthttp's log lines about single connections; metrics count them.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
+var _ callerhttp.Handler = (*Ingress)(nil)
--- a/node/proxy/ingress/vmlist_test.go
+++ b/node/proxy/ingress/vmlist_test.go
@@ -144,7 +144,7 @@
 	Convey("A stopping node serves requests and closes their connections; a closed node refuses them as not run", t, func() {
 		var stopping, closed atomic.Bool
 		f := newPublishedFleet(t, replyOK)
-		f.ingress.Stopping, f.ingress.Closed = stopping.Load, closed.Load
+		f.ingress.Draining, f.ingress.Closed = stopping.Load, closed.Load
 		stopping.Store(true)
 		resp, err := f.send("GET", "/read/1", "", "X-Id: a")
 		So(err, ShouldBeNil)
--- a/node/proxy/ingress/watch.go
+++ b/node/proxy/ingress/watch.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"auburnladder.example/wire/peerpb"
@@ -14,8 +12,6 @@
 )
 
 const (
-	// watchdogInterval is the time between two checks of a waiting attempt.
-	watchdogInterval = 50 * time.Millisecond
 	// probeAfter is how long an attempt waits before its session is probed.
 	probeAfter = time.Second
 	// probeTimeout is how long the probe of a session may take.
@@ -30,56 +26,56 @@
 type watchdog struct {
 	attempt            *attempt
 	timer              *time.Timer
-	started            time.Time
-	probed             bool
+	stopWatching       func() bool
 	callerDisconnected atomic.Bool
 	unresponsive       atomic.Bool
 	mu                 sync.Mutex
 	stopped            bool
 }
 
-// startWatchdog starts a watchdog for a. It uses a timer, so that an attempt shorter than
-// watchdogInterval needs no extra goroutine.
+// startWatchdog starts a watchdog for a. It needs no goroutine unless something happens.
 func startWatchdog(a *attempt) *watchdog {
-	w := &watchdog{attempt: a, started: time.Now()}
+	w := &watchdog{attempt: a}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(watchdogInterval, w.check)
+	w.timer = time.AfterFunc(probeAfter, w.probe)
+	w.stopWatching = context.AfterFunc(a.call.exchange.Context(), w.interruptDisconnected)
 	return w
 }
 
-// stop stops the watchdog. After it returns, the watchdog no longer uses the request's
-// memory or connection.
+// stop stops the watchdog. After it returns, the watchdog no longer uses the attempt.
 func (w *watchdog) stop() {
 	w.timer.Stop()
+	w.stopWatching()
 	w.mu.Lock()
 	w.stopped = true
 	w.mu.Unlock()
 }
 
-// check interrupts the attempt if the caller has disconnected, and probes the session once
-// after probeAfter. It runs on the timer's goroutine.
-func (w *watchdog) check() {
+// interruptDisconnected interrupts the attempt because the caller has disconnected. It runs on
+// a goroutine of its own.
+func (w *watchdog) interruptDisconnected() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.stopped {
-		w.mu.Unlock()
 		return
 	}
-	disconnected := closedByRemote(w.attempt.call.ctx.Conn())
-	probeDue := !w.probed && time.Since(w.started) >= probeAfter
-	w.probed = w.probed || probeDue
-	if !disconnected {
-		w.timer.Reset(watchdogInterval)
+	w.callerDisconnected.Store(true)
+	w.attempt.stream.SetDeadline(pastDeadline)
+}
+
+// probe probes the session and interrupts the attempt if there is no ack. It runs on the
+// timer's goroutine.
+func (w *watchdog) probe() {
+	w.mu.Lock()
+	if w.stopped {
+		w.mu.Unlock()
+		return
 	}
 	ingress, endpoint, ses := w.attempt.call.ingress, w.attempt.endpoint, w.attempt.session
 	idempotent := w.attempt.call.match.Route.Idempotent
 	w.mu.Unlock()
-	if disconnected {
-		w.callerDisconnected.Store(true)
-		w.attempt.stream.SetDeadline(pastDeadline)
-		return
-	}
-	if probeDue && !sessionResponds(ses) {
+	if !sessionResponds(ses) {
 		metrics.unresponsive.Add(1)
 		ingress.Sessions.Retire(endpoint.VM, ses)
 		w.interruptUnresponsive(idempotent)
@@ -114,24 +110,3 @@
 	err := ses.Exchange(ctx, &peerpb.Request{Kind: &peerpb.Request_Ping{Ping: ping}}, &ack)
 	return err == nil && ack.GetNonce() == ping.GetNonce()
 }
-
-// closedByRemote reports whether the remote end closed conn. It peeks at the socket and
-// consumes no data.
-func closedByRemote(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	var peek [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		n, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = (n == 0 && err == nil) || err == syscall.ECONNRESET
-		return true
-	})
-	return closed || err != nil
-}
--- a/node/run.go
+++ b/node/run.go
@@ -10,6 +10,7 @@
 
 	"auburnladder.example/core/drain"
 	"auburnladder.example/node/admin"
+	"auburnladder.example/node/callerhttp"
 	"auburnladder.example/node/metrics"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/proxy/ingress"
@@ -135,7 +136,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, srv := range n.callerServers {
-		if err := srv.ShutdownWithContext(ctx); err != nil {
+		if err := srv.Shutdown(ctx); err != nil {
 			n.log.Warn().Err(err).Str("event", "callers-cut").Msg("requests of callers were still in flight at the shutdown deadline")
 		}
 	}
@@ -206,12 +207,12 @@
 	}
 	if n.store != nil {
 		in.Headers = n.store.Headers
-		in.Stopping = n.stopper.stopping.Load
+		in.Draining = n.stopper.stopping.Load
 		in.Closed = n.stopper.refusingCallers.Load
 	} else {
 		in.Paused = n.driver.Paused
 	}
-	srv := in.NewServer()
+	srv := in.NewServer(callerhttp.DefaultConfig())
 	n.callerServers = append(n.callerServers, srv)
 	n.ingresses = append(n.ingresses, in)
 	return srv.Serve
