Let a connection that was just accepted send its first request while the server stops

Ruled out: a request that was read (the log has none without a response), connections in the listener's backlog (those are reset, which a caller may repeat).

Change: while the server stops, a connection without a request stays open for 500 ms after it was accepted. The new test fails without it.

--- a/node/callerhttp/callerhttp_test.go
+++ b/node/callerhttp/callerhttp_test.go
@@ -117,6 +117,8 @@
 	Convey("Shutdown closes idle connections and waits for those with a request", t, func() {
 		r := newRig(t)
 		idle, busy := r.dial(), r.dial()
+		idle.get("/now/0")
+		So(idle.mustRead().status, ShouldEqual, 200)
 		busy.get("/hold/1")
 		r.waitFor("start", func() bool { return r.hasStarted("/hold/1") })
 		done := make(chan struct{})
@@ -134,6 +136,21 @@
 		<-done
 		r.tasks.Wait()
 	})
+	Convey("A connection that was just accepted gets a response to its first request although the server stops", t, func() {
+		r := newRig(t)
+		c := r.dial()
+		r.waitFor("the connection", func() bool {
+			r.server.mu.Lock()
+			defer r.server.mu.Unlock()
+			return len(r.server.conns) == 1
+		})
+		r.tasks.Go(r.close0)
+		r.waitFor("shutdown", r.server.closing.Load)
+		c.get("/now/1")
+		So(c.mustRead(), ShouldResemble, answer{status: 200, body: "/now/1", closes: true})
+		c.Close()
+		r.tasks.Wait()
+	})
 	Convey("Shutdown cuts what is left at its deadline and says so", t, func() {
 		r := newRig(t)
 		c := r.dial()
--- a/node/callerhttp/conn.go
+++ b/node/callerhttp/conn.go
@@ -22,6 +22,9 @@
 	// closeCheckInterval is the time between two checks for a caller that closes its
 	// connection after its last response.
 	closeCheckInterval = 20 * time.Millisecond
+	// maxFirstRequestWait is how long after it was accepted a connection is kept for its first
+	// request while the server stops.
+	maxFirstRequestWait = 500 * time.Millisecond
 )
 
 // pastDeadline is a deadline that ends a blocked read or write at once.
@@ -41,6 +44,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  conc.WaitGroup
+	// accepted is when the connection was accepted, and requests counts the requests that were
+	// read. They belong to the reading goroutine.
+	accepted time.Time
+	requests int
 	// answered receives a value after a response is complete.
 	answered chan struct{}
 	// lastAnswer is when the last response was complete, in Unix nanoseconds.
@@ -53,7 +60,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, answered: make(chan struct{}, 1)}
+	c := &conn{server: s, nc: nc, accepted: time.Now(), answered: make(chan struct{}, 1)}
 	c.in.conn = nc
 	c.br = bufio.NewReaderSize(&c.in, s.cfg.MaxHeaderBytes)
 	c.bw = bufio.NewWriterSize(nc, writeBufferBytes)
@@ -147,10 +154,14 @@
 // to be closed: the caller has left, it was idle for too long, or the server stops.
 func (c *conn) awaitRequest() bool {
 	for {
-		c.setReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
+		wait := c.server.cfg.IdleTimeout
 		if c.server.closing.Load() && c.idle() {
+			wait = c.firstRequestWait()
+		}
+		if wait <= 0 {
 			return false
 		}
+		c.setReadDeadline(time.Now().Add(wait))
 		_, err := c.br.Peek(1)
 		switch {
 		case err == nil:
@@ -164,6 +175,15 @@
 	}
 }
 
+// firstRequestWait returns how long a connection without a request stays open while the server
+// stops: its caller may just be sending the first one, which then gets a response.
+func (c *conn) firstRequestWait() time.Duration {
+	if c.requests > 0 {
+		return 0
+	}
+	return c.accepted.Add(maxFirstRequestWait).Sub(time.Now())
+}
+
 // idle reports whether every response is complete.
 func (c *conn) idle() bool {
 	count, _ := c.pipeline.load()
@@ -192,6 +212,7 @@
 // readRequest reads one request. Its first byte is there. The caller releases the exchange,
 // also after an error.
 func (c *conn) readRequest() (*Exchange, error) {
+	c.requests++
 	x := acquireExchange(c.ctx, c.in.last)
 	c.setReadDeadline(time.Now().Add(c.server.cfg.ReadTimeout))
 	req := &x.Request
