Answer a request that was refused for its deadline with 503 instead of 504

Cause: a node that refuses a call because its deadline would pass has not run it, but the caller got 504, which promises nothing, so a booking could not be repeated safely.

New case in TestVerdictsAndRetries, which fails before (504).

--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -313,6 +313,12 @@
 	})
 }
 
+func refuseDeadline(_ *link, call *peerpb.Call, st *session.Stream) {
+	_ = st.Send(&peerpb.Reply{
+		Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_NOT_RUN, Refusal: peerpb.Refusal_REFUSAL_DEADLINE,
+	})
+}
+
 func refuseDuplicate(_ *link, call *peerpb.Call, st *session.Stream) {
 	_ = st.Send(&peerpb.Reply{
 		Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_NOT_RUN, Refusal: peerpb.Refusal_REFUSAL_DUPLICATE,
--- a/node/proxy/ingress/ingress_test.go
+++ b/node/proxy/ingress/ingress_test.go
@@ -51,6 +51,7 @@
 		{"lost booking is not retried", "POST", "/", []handler{dropSession, dropSession}, 502, "may-have-run", 1},
 		{"lost lookup is retried", "GET", "/", []handler{dropSession, dropSession}, 502, "may-have-run", 2},
 		{"mismatched booking response", "POST", "/", []handler{replyMismatched, replyMismatched}, 502, "may-have-run", 1},
+		{"booking refused for its deadline", "POST", "/", []handler{refuseDeadline}, 503, "not-run", 1},
 		{"duplicate may have run", "POST", "/", []handler{refuseDuplicate, refuseDuplicate}, 502, "may-have-run", 1},
 		{"shed lookup, no other server", "GET", "/", []handler{replyShed}, 503, "ran", 1},
 		{"shed booking", "POST", "/", []handler{replyShed, replyShed}, 503, "ran", 1},
--- a/node/proxy/ingress/response.go
+++ b/node/proxy/ingress/response.go
@@ -17,8 +17,9 @@
 //
 //	400, 403, 404, 408, 413, 431  the request is at fault; not-run
 //	502  an attempt was interrupted or its response was unusable
-//	503  no server accepted the request; Retry-After if a time is known
-//	504  the deadline passed
+//	503  no server accepted the request, also because its deadline would pass; Retry-After if a
+//	     time is known
+//	504  the deadline passed after the request was sent
 
 // failureStatus returns the HTTP status for a call that failed with err and verdict v.
 func failureStatus(v verdict.Verdict, err error) int {
@@ -29,15 +30,13 @@
 			return fasthttp.StatusForbidden
 		case peerpb.Refusal_REFUSAL_BAD_REQUEST:
 			return fasthttp.StatusBadRequest
-		case peerpb.Refusal_REFUSAL_DEADLINE:
-			return fasthttp.StatusGatewayTimeout
 		}
 	}
 	switch {
-	case errors.Is(err, errDeadline):
-		return fasthttp.StatusGatewayTimeout
 	case v == verdict.NotRun:
 		return fasthttp.StatusServiceUnavailable
+	case errors.Is(err, errDeadline) || refused != nil && refused.refusal == peerpb.Refusal_REFUSAL_DEADLINE:
+		return fasthttp.StatusGatewayTimeout
 	default:
 		return fasthttp.StatusBadGateway
 	}
