Let one node read the key-value store and pass its changes along a tree

Cause: every node watched the store.

Ruled out: readers in each domain (five times the calls and no byte saved, since the first node of a domain gets patches); liveness by keepalive (a bound of 2 s on a kernel timeout); see docs/design/24-store-spread.md.

Change: core/spread decides from whom a node takes changes, by the age of its copy, which travels with each message; node/follow carries it out; core/source gives the changes since a revision; changed releases travel as patches. platform.reading: all is the former way, kept as a baseline.

Open: the start of all nodes reads the store once each; the project's own service keeps its own spread; applying a change costs as before.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -49,8 +49,22 @@
 	// listChanges is the number of changes of the VM list.
 	listChanges  uint64
 	decodeErrors []error
+	// removals are the latest removals of keys, in order of revision. Those at or before
+	// removalsFrom are not known.
+	removals     []removal
+	removalsFrom uint64
 }
 
+// removal is the removal of a key at a revision.
+type removal struct {
+	key      string
+	revision uint64
+}
+
+// maxRemovals bounds the removals that a replica remembers. A node that is further behind gets
+// the whole copy.
+const maxRemovals = 1024
+
 // retainedEntry is a server entry that stays in the list until a given time although it
 // was removed from the store.
 type retainedEntry struct {
@@ -120,6 +134,19 @@
 	r.failedSince = time.Time{}
 }
 
+// ExtendGrace extends the grace period up to the given time, because another node has seen
+// the end of an outage.
+func (r *Replica) ExtendGrace(until time.Time) {
+	if until.After(r.graceUntil) {
+		r.graceUntil = until
+	}
+}
+
+// GraceLeft returns the rest of the grace period after an outage, 0 if there is none.
+func (r *Replica) GraceLeft(now time.Time) time.Duration {
+	return max(0, r.graceUntil.Sub(now))
+}
+
 // InReturnGrace reports whether the grace period after an outage is running, in which
 // entries that expired during the outage may be written again.
 func (r *Replica) InReturnGrace(now time.Time) bool { return now.Before(r.graceUntil) }
@@ -142,6 +169,8 @@
 		}
 	}
 	r.revision = revision
+	// An item may have been added and removed again since the last revision.
+	r.removals, r.removalsFrom = nil, revision
 	return true
 }
 
@@ -152,6 +181,7 @@
 			if r.items[ch.Key].Revision <= ch.Revision {
 				r.remove(now, ch.Key)
 			}
+			r.recordRemoval(ch.Key, ch.Revision)
 			continue
 		}
 		r.put(ch.Item)
@@ -159,6 +189,44 @@
 	r.revision = max(r.revision, c.Revision)
 }
 
+// recordRemoval remembers a removal for Since.
+func (r *Replica) recordRemoval(key string, revision uint64) {
+	r.removals = append(r.removals, removal{key: key, revision: revision})
+	if len(r.removals) > maxRemovals {
+		r.removalsFrom = max(r.removalsFrom, r.removals[0].revision)
+		r.removals = r.removals[1:]
+	}
+}
+
+// Knows reports whether Since returns all changes after a revision.
+func (r *Replica) Knows(after uint64) bool { return after > 0 && after >= r.removalsFrom }
+
+// Since returns the changes after a revision, which the replica must know, or all items for
+// the revision 0.
+func (r *Replica) Since(after uint64) []Change {
+	var changes []Change
+	for _, item := range r.Items() {
+		if item.Revision > after {
+			changes = append(changes, Change{Item: item})
+		}
+	}
+	if after == 0 {
+		return changes
+	}
+	for _, gone := range r.removals {
+		if _, present := r.items[gone.key]; !present && gone.revision > after {
+			changes = append(changes, Change{Item: Item{Key: gone.key, Revision: gone.revision}, Removed: true})
+		}
+	}
+	return changes
+}
+
+// Value returns the value of a key if its last change was at the given revision.
+func (r *Replica) Value(key string, revision uint64) ([]byte, bool) {
+	item, found := r.items[key]
+	return item.Value, found && item.Revision == revision
+}
+
 // put stores an item unless the replica has the same or a newer revision of it.
 func (r *Replica) put(item Item) {
 	old, found := r.items[item.Key]
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -188,3 +188,46 @@
 		}
 	})
 }
+
+// TestChangesSince guards against a change or a removal that is missing from what another node
+// gets, whatever revision it holds: with the changes since then it must hold what this replica
+// holds.
+func TestChangesSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		copies := map[uint64]*Replica{}
+		revision := uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			key := fmt.Sprintf("s%d", rapid.IntRange(1, 5).Draw(t, "key"))
+			revision++
+			c := Change{Item: Item{Key: key, Revision: revision, Value: encode(key, int64(revision), false)}}
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0, 1, 2:
+				c.Removed, c.Value = true, nil
+				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+			case 3:
+				// All items are read again: what was removed in between is not known.
+				r.Replace(start, []Item{c.Item}, revision)
+			default:
+				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+			}
+			held := NewReplica(DefaultConfig(), textDecoder{})
+			held.Replace(start, r.Items(), revision)
+			copies[revision] = held
+		}
+		for after, held := range copies {
+			if r.Knows(after) {
+				held.Apply(start, Changes{Changes: r.Since(after), Revision: r.Revision()})
+			} else {
+				var items []Item
+				for _, c := range r.Since(0) {
+					items = append(items, c.Item)
+				}
+				held.Replace(start, items, r.Revision())
+			}
+			if got, want := fmt.Sprint(held.Items()), fmt.Sprint(r.Items()); got != want {
+				t.Fatalf("from revision %d: %s, want %s", after, got, want)
+			}
+		}
+	})
+}
--- a/core/statusapi/statusapi.go
+++ b/core/statusapi/statusapi.go
@@ -45,6 +45,12 @@
 	Now time.Time `json:"now"`
 	// Reader reports whether the node watches the platform for new releases.
 	Reader bool `json:"reader"`
+	// SourceParent is the VM from whose node changes of a key-value store are taken; "" if
+	// there is none.
+	SourceParent string `json:"source_parent,omitempty"`
+	// SourceAgeMS is the time in milliseconds for which a key-value store may have changed
+	// without this node knowing.
+	SourceAgeMS int64 `json:"source_age_ms,omitempty"`
 	// SourceFailing reports whether this node's latest calls to the platform all failed.
 	// Only readers call the platform continuously.
 	SourceFailing bool `json:"source_failing"`
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -25,10 +25,12 @@
 }
 
 // fillStatus adds to s whether the node is a reader, whether its source fails, and the status
-// and load of its backend server. With a key-value store every node is a reader, which is the
-// value that s already has.
+// and load of its backend server. With a key-value store it also adds from which node changes
+// are taken and how old the copy of the store may be.
 func (n *Node) fillStatus(s *statusapi.Status) {
 	if n.follower != nil {
+		status := n.follower.Status()
+		s.Reader, s.SourceParent, s.SourceAgeMS = status.ReadsStore, status.Parent, status.Age.Milliseconds()
 		s.SourceFailing = n.follower.Failing()
 	} else {
 		s.Reader = n.driver.Status().Reader
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -1,11 +1,11 @@
 // Package follow keeps a node's configuration and its list of servers in sync with a
-// key-value store, which it reads once and then watches. While the store does not respond
-// to this node, the node fetches newer copies of the store's items from its peers.
+// key-value store. Of all nodes only the root of a tree (package spread) watches the store;
+// the others take its changes from each other. A node whose copy gets too old asks random
+// nodes and at last reads the store itself.
 package follow
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -13,6 +13,7 @@
 
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/source"
+	"auburnladder.example/core/spread"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/command"
 	"github.com/rs/zerolog"
@@ -20,75 +21,6 @@
 	"golang.org/x/time/rate"
 )
 
-// Store is the key-value store. Its methods may be called from several goroutines.
-type Store interface {
-	// List returns the page of items that follows the key after; "" returns the first page.
-	List(after string) (source.Page, error)
-	// Watch returns the changes after a revision as soon as there are any, and no changes
-	// when wait has passed. It returns source.ErrHistoryLost if the store no longer has the
-	// changes since that revision.
-	Watch(after uint64, wait time.Duration) (source.Changes, error)
-}
-
-// Config holds the limits and intervals of a Follower's calls.
-type Config struct {
-	// Replica configures how removals after an outage of the store are treated.
-	Replica source.Config
-	// WatchWait is the longest wait of one watch. A longer wait costs fewer calls and
-	// detects an unresponsive connection later. Default 2 s.
-	WatchWait time.Duration
-	// RetryMin and RetryMax bound the jittered exponential backoff after failed calls.
-	// Defaults 100 ms and 1 s.
-	RetryMin time.Duration
-	RetryMax time.Duration
-	// ReadShare is the fraction of ReadsPerSecond that all nodes together may use for the
-	// watches that follow a change. A smaller fraction delays the watches and combines more
-	// changes into one call. Default 0.25.
-	ReadShare float64
-	// ReadsPerSecond is the rate of reads that the store allows to all nodes together.
-	// Default 2000.
-	ReadsPerSecond float64
-	// CombineMax is the upper limit of the delay of a watch that results from ReadShare.
-	// Default 500 ms.
-	CombineMax time.Duration
-	// ApplyWithin is the time within which this node must apply a change. In a continuous
-	// series of changes, those of one third of this time are combined into one call; the
-	// rest is left for the call itself, building the release and requests in flight.
-	// Default 2 s.
-	ApplyWithin time.Duration
-	// PeerInterval is the time between two rounds of requests to peers while the store does
-	// not respond. Default 250 ms.
-	PeerInterval time.Duration
-	// PeersPerRound is the number of peers that are queried in one round. Default 2.
-	PeersPerRound int
-}
-
-// DefaultConfig returns the default settings. They detect an unresponsive connection to
-// the store within 3 s.
-func DefaultConfig() Config {
-	return Config{
-		Replica:        source.DefaultConfig(),
-		WatchWait:      2 * time.Second,
-		RetryMin:       100 * time.Millisecond,
-		RetryMax:       time.Second,
-		ReadShare:      0.25,
-		ReadsPerSecond: 2000,
-		CombineMax:     500 * time.Millisecond,
-		ApplyWithin:    2 * time.Second,
-		PeerInterval:   250 * time.Millisecond,
-		PeersPerRound:  2,
-	}
-}
-
-const (
-	// combineDivisor is the divisor of ApplyWithin that gives the time for which the changes
-	// of a continuous series are combined into one call.
-	combineDivisor = 3
-	// combineBurst is the number of watches that may follow each other without that delay
-	// after a time without changes.
-	combineBurst = 3
-)
-
 // Follower keeps one node in sync with one store. Its methods are safe for concurrent use.
 type Follower struct {
 	cfg     Config
@@ -96,16 +28,29 @@
 	peers   Peers
 	command *command.Commander
 	log     zerolog.Logger
+	// boot is a clock that also counts while the VM is suspended.
+	boot func() time.Duration
 	// watchLimiter limits the rate of watches during a continuous series of changes.
 	watchLimiter *rate.Limiter
 	// failing is set while the store does not respond to this node.
 	failing atomic.Bool
 	// calls tracks the open calls to the store, which may outlive Run.
 	calls conc.WaitGroup
+	// steer receives a value when the decision of the machine may have changed.
+	steer chan struct{}
 
 	mu      sync.Mutex
 	replica *source.Replica
+	machine *spread.Machine
 	decoder source.Decoder
+	// decision is what the node does now; decided is closed when it changes.
+	decision spread.Decision
+	decided  chan struct{}
+	// renewed is closed when the copy has changed or was confirmed.
+	renewed chan struct{}
+	// encoded and releases serve to encode changes for other nodes.
+	encoded  encodedChanges
+	releases releaseHistory
 	// snapshot is the active release. releaseRevision is the revision of the last release
 	// item that was read; an invalid one leaves snapshot unchanged.
 	snapshot        *mesh.Snapshot
@@ -114,164 +59,168 @@
 	listChanges uint64
 }
 
-// New returns a follower that is idle until Run is called.
-func New(cfg Config, store Store, d source.Decoder, peers Peers, cmd *command.Commander, log zerolog.Logger) *Follower {
+// New returns a follower that is idle until Run is called. boot is a clock that also counts
+// while the VM is suspended.
+func New(cfg Config, store Store, d source.Decoder, peers Peers, cmd *command.Commander, boot func() time.Duration, log zerolog.Logger) *Follower {
+	limits := spread.DefaultConfig()
+	limits.Within = cfg.ApplyWithin
+	limits.Jitter = rand.Float64()
+	id := cmd.State.Identity
 	return &Follower{
 		cfg:          cfg,
 		store:        store,
 		peers:        peers,
 		command:      cmd,
 		log:          log,
+		boot:         boot,
 		watchLimiter: rate.NewLimiter(rate.Every(cfg.ApplyWithin/combineDivisor), combineBurst),
+		steer:        make(chan struct{}, 1),
 		replica:      source.NewReplica(cfg.Replica, d),
+		machine:      spread.NewMachine(limits, id.VM, id.Domain, boot()),
 		decoder:      d,
+		decided:      make(chan struct{}),
+		renewed:      make(chan struct{}),
 	}
 }
 
 // Failing reports whether the last call to the store failed.
 func (f *Follower) Failing() bool { return f.failing.Load() }
 
+// Status describes where a node gets changes from.
+type Status struct {
+	// ReadsStore reports whether the node watches the store itself.
+	ReadsStore bool
+	// Parent is the VM from whose node it takes changes, "" if there is none.
+	Parent string
+	// Age is the time for which the store may have changed without this node knowing.
+	Age time.Duration
+}
+
+// Status returns where this node gets changes from.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Status{ReadsStore: f.decision.ReadStore, Age: f.machine.Age(f.boot())}
+	if f.decision.Parent != nil {
+		s.Parent = f.decision.Parent.ID
+	}
+	return s
+}
+
 // Run keeps the node in sync with the store until ctx ends. Calls to the store that are
 // open then may outlive it.
 func (f *Follower) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { f.pollPeers(ctx) })
+	tasks.Go(func() { f.control(ctx) })
+	tasks.Go(func() { f.askPeers(ctx) })
 	tasks.Go(func() { f.expire(ctx) })
-	synced := false
-	backoff := f.cfg.RetryMin
+	f.readStore(ctx)
+}
+
+// control takes the decisions of the machine and keeps the stream from the parent.
+func (f *Follower) control(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	parent, stop := "", func() {}
+	defer func() { stop() }()
 	for ctx.Err() == nil {
-		call := f.readAll
-		if synced {
-			call = f.watch
-		}
-		err := f.callUntilDone(ctx, call)
-		if errors.Is(err, source.ErrHistoryLost) {
-			f.log.Warn().Str("event", "history-lost").Uint64("revision", f.revision()).Msg("store no longer has the changes since this revision; reading all items")
-			synced = false
-			continue
+		d := f.decide()
+		if next := vmID(d.Parent); next != parent {
+			stop()
+			parent, stop = next, func() {}
+			f.log.Info().Str("event", "source-parent").Str("vm", next).Bool("reads_store", d.ReadStore).
+				Dur("age_ms", f.Status().Age).Msg("changes of the store are taken from this node from now on; none means from the store")
+			if next != "" {
+				stop = f.startParent(ctx, &tasks, *d.Parent)
+			}
 		}
-		if err != nil {
-			f.recordFailure(err)
-			sleep(ctx, jitter(backoff))
-			backoff = min(2*backoff, f.cfg.RetryMax)
-			continue
-		}
-		synced = true
-		backoff = f.cfg.RetryMin
-		f.delayWatch(ctx)
+		f.awaitSteer(ctx, d.Wake-f.boot())
 	}
 }
 
-// callUntilDone returns the result of call, or the error of ctx if ctx ends first. In that
-// case the call continues until its own timeout.
-func (f *Follower) callUntilDone(ctx context.Context, call func() error) error {
-	result := make(chan error, 1)
-	f.calls.Go(func() { result <- call() })
-	select {
-	case err := <-result:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+// startParent starts taking changes from the node of a VM. The returned function ends that.
+func (f *Follower) startParent(ctx context.Context, tasks *conc.WaitGroup, vm vmlist.VM) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	tasks.Go(func() { f.followParent(ctx, vm) })
+	return cancel
 }
 
-func (f *Follower) revision() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.replica.Revision()
+func vmID(vm *vmlist.VM) string {
+	if vm == nil {
+		return ""
+	}
+	return vm.ID
 }
 
-// readAll reads all pages. The next watch starts at the revision of the first page, so that
-// changes made while the pages were read are not missed; some are received twice.
-func (f *Follower) readAll() error {
-	var items []source.Item
-	var revision uint64
-	for after := ""; ; {
-		page, err := f.store.List(after)
-		if err != nil {
-			return err
-		}
-		if after == "" {
-			revision = page.Revision
-		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			break
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
-	f.recordSuccess()
+// decide stores and returns the decision of the machine, and tells the tasks if it changed.
+func (f *Follower) decide() spread.Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.replica.Replace(time.Now(), items, revision)
-	f.applyReplicaLocked()
-	return nil
-}
-
-// watch makes one watch call and applies the changes that it returns.
-func (f *Follower) watch() error {
-	wait := f.cfg.WatchWait
-	if f.failing.Load() {
-		// Returns at once, so that the end of an outage is detected without waiting for
-		// the next change.
-		wait = 0
+	old := f.decision
+	f.decision = f.machine.Decide(f.boot())
+	if f.cfg.Reading == ReadByAll {
+		f.decision.Parent, f.decision.ReadStore, f.decision.AskPeers = nil, true, f.failing.Load()
 	}
-	changes, err := f.store.Watch(f.revision(), wait)
-	if err != nil {
-		return err
+	if old.ReadStore != f.decision.ReadStore || old.AskPeers != f.decision.AskPeers || vmID(old.Parent) != vmID(f.decision.Parent) {
+		close(f.decided)
+		f.decided = make(chan struct{})
 	}
-	f.recordSuccess()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.replica.Apply(time.Now(), changes)
-	f.applyReplicaLocked()
-	return nil
+	return f.decision
 }
 
-// delayWatch waits before the next watch. The first delay keeps the watches that one change
-// causes at all nodes within their share of the store's rate. The second one combines the
-// changes of a continuous series into fewer calls; it is skipped after an outage, so that
-// entries that return are received at once.
-func (f *Follower) delayWatch(ctx context.Context) {
-	sleep(ctx, f.fleetDelay())
-	if !f.inReturnGrace() {
-		sleep(ctx, f.watchLimiter.Reserve().Delay())
+// awaitSteer waits until the machine has recorded something that may change its decision, or
+// for d.
+func (f *Follower) awaitSteer(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, minDecideInterval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.steer:
+	case <-timer.C:
 	}
 }
 
-// fleetDelay returns the time in which all nodes together may make one call each.
-func (f *Follower) fleetDelay() time.Duration {
-	nodes := len(f.command.State.Fleet().VMs)
-	seconds := float64(nodes) / (f.cfg.ReadShare * f.cfg.ReadsPerSecond)
-	return min(time.Duration(seconds*float64(time.Second)), f.cfg.CombineMax)
-}
+// minDecideInterval is the shortest time between two decisions without an event.
+const minDecideInterval = 10 * time.Millisecond
 
-// inReturnGrace reports whether entries that expired during an outage may still return.
-func (f *Follower) inReturnGrace() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.replica.InReturnGrace(time.Now())
+// signalSteer makes control decide again.
+func (f *Follower) signalSteer() {
+	select {
+	case f.steer <- struct{}{}:
+	default:
+	}
 }
 
-// recordFailure records a failed call, and reports the first one of an outage.
-func (f *Follower) recordFailure(err error) {
-	f.mu.Lock()
-	f.replica.RecordFailure(time.Now())
-	f.mu.Unlock()
-	if !f.failing.Swap(true) {
-		f.command.RecordSourceFailure(err)
+// await waits until wanted returns true for the decision. It returns false if ctx ended first.
+func (f *Follower) await(ctx context.Context, wanted func(d *spread.Decision) bool) bool {
+	for {
+		f.mu.Lock()
+		ok, decided := wanted(&f.decision), f.decided
+		f.mu.Unlock()
+		if ok {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-decided:
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
-// recordSuccess records a successful call, and reports the first one after an outage.
-func (f *Follower) recordSuccess() {
+func (f *Follower) revision() uint64 {
 	f.mu.Lock()
-	f.replica.RecordSuccess(time.Now())
-	f.mu.Unlock()
-	if f.failing.Swap(false) {
-		f.command.RecordSourceRecovery()
-	}
+	defer f.mu.Unlock()
+	return f.replica.Revision()
+}
+
+// renewLocked tells the nodes that follow this one that the copy changed or was confirmed. The
+// caller holds mu.
+func (f *Follower) renewLocked() {
+	close(f.renewed)
+	f.renewed = make(chan struct{})
+	f.signalSteer()
 }
 
 // applyReplicaLocked applies the replica's release and VM list if they changed. The caller
@@ -285,7 +234,9 @@
 		return
 	}
 	f.listChanges = f.replica.ListChanges()
-	f.command.ApplyVMList(&vmlist.List{Revision: f.listChanges, VMs: f.replica.VMs()})
+	vms := f.replica.VMs()
+	f.machine.SetVMs(vms)
+	f.command.ApplyVMList(&vmlist.List{Revision: f.listChanges, VMs: vms})
 }
 
 // applyReleaseLocked applies the replica's release if it is new and valid. The caller holds
@@ -296,6 +247,7 @@
 		return
 	}
 	f.releaseRevision = item.Revision
+	f.releases.add(item)
 	p, err := f.decoder.Release(item.Value)
 	if err == nil {
 		var snap *mesh.Snapshot
@@ -341,5 +293,3 @@
 	case <-timer.C:
 	}
 }
-
-var errNotNewer = errors.New("the peer's copy is not newer than the local one")
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -20,6 +20,17 @@
 	SourceStore SourceKind = "store"
 )
 
+// Reading names the nodes that read a key-value store.
+type Reading string
+
+const (
+	// ReadingTree lets one node watch the store; the others take its changes from each other.
+	ReadingTree Reading = "tree"
+	// ReadingAll lets every node watch the store, which costs calls in proportion to the
+	// nodes. It is a baseline for measurements.
+	ReadingAll Reading = "all"
+)
+
 // Approval names the condition under which a release counts as approved.
 type Approval string
 
@@ -35,6 +46,8 @@
 type Platform struct {
 	// Kind selects the protocol of the service; the default is SourceService.
 	Kind SourceKind `yaml:"kind"`
+	// Reading selects the nodes that read a key-value store; the default is ReadingTree.
+	Reading Reading `yaml:"reading"`
 	// Seeds are the peer addresses, each "ip:port", of nodes to contact before the first
 	// VM list is known.
 	Seeds []netip.AddrPort `yaml:"seeds"`
@@ -76,6 +89,9 @@
 	if p.Kind != SourceService && p.Kind != SourceStore {
 		problems = append(problems, yamlcheck.Problem{Field: "kind", Found: string(p.Kind), Expected: "service or store"})
 	}
+	if p.Reading != ReadingTree && p.Reading != ReadingAll {
+		problems = append(problems, yamlcheck.Problem{Field: "reading", Found: string(p.Reading), Expected: "tree or all"})
+	}
 	if p.ReadsPerSecond <= 0 {
 		problems = append(problems, yamlcheck.Problem{Field: "reads_per_second", Found: fmt.Sprint(p.ReadsPerSecond), Expected: "more than 0"})
 	}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -112,6 +112,7 @@
 			LeaveWithin: yamlcheck.Duration(defaultLeaveWithin),
 
 			Kind:           SourceService,
+			Reading:        ReadingTree,
 			ReadsPerSecond: defaultReadsPerSecond,
 		},
 		Approval: ApprovalKeys,
--- a/node/store.go
+++ b/node/store.go
@@ -7,9 +7,11 @@
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/source"
+	"auburnladder.example/core/steady"
 	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/follow"
 	"auburnladder.example/node/proxy/egress"
+	"auburnladder.example/node/settings"
 	"auburnladder.example/wire/session"
 )
 
@@ -55,7 +57,10 @@
 	cfg := follow.DefaultConfig()
 	cfg.ReadsPerSecond = n.startSettings.Platform.ReadsPerSecond
 	cfg.ApplyWithin = min(n.startSettings.Platform.ApplyWithin.Std(), n.startSettings.Platform.LeaveWithin.Std())
-	n.follower = follow.New(cfg, n.store.Store, n.store.Decoder, &storePeers{node: n}, n.command, n.log)
+	if n.startSettings.Platform.Reading == settings.ReadingAll {
+		cfg.Reading = follow.ReadByAll
+	}
+	n.follower = follow.New(cfg, n.store.Store, n.store.Decoder, &storePeers{node: n}, n.command, steady.Boot, n.log)
 }
 
 // callerIdentity returns the identity of all callers on the caller listener: the service of
@@ -78,6 +83,9 @@
 	return p.node.peers.Get(ctx, vm, addr)
 }
 
+// Retire implements follow.Peers.
+func (p *storePeers) Retire(vm string, ses *session.Session) { p.node.peers.Retire(vm, ses) }
+
 // Candidates implements follow.Peers. It returns the seeds and the peer addresses of all listed
 // VMs, without duplicates and without this VM. With a key-value store the ID of a VM is its IP
 // address.
--- a/wire/session/session.go
+++ b/wire/session/session.go
@@ -183,6 +183,19 @@
 	_ = s.mux.SetDeadline(t)
 }
 
+// SetWriteDeadline bounds all later writes.
+func (s *Stream) SetWriteDeadline(t time.Time) {
+	// SetWriteDeadline of a yamux stream always returns nil.
+	_ = s.mux.SetWriteDeadline(t)
+}
+
+// AwaitEnd blocks until the other end closes or resets the stream, or the session ends. It must
+// not be called concurrently with Recv, and drops what the other end sends.
+func (s *Stream) AwaitEnd() {
+	// The error says how the stream ended, which makes no difference here.
+	_, _ = io.Copy(io.Discard, s.mux)
+}
+
 // Close ends this side of the stream; the other end reads io.EOF.
 func (s *Stream) Close() {
 	_ = s.mux.Close()
