--- a/node/callerhttp/conn.go
+++ b/node/callerhttp/conn.go
@@ -181,7 +181,7 @@
 	if c.requests > 0 {
 		return 0
 	}
-	return c.accepted.Add(maxFirstRequestWait).Sub(time.Now())
+	return time.Until(c.accepted.Add(maxFirstRequestWait))
 }
 
 // idle reports whether every response is complete.
