--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -79,6 +79,11 @@
 // Rebuild is like Build but reuses the decoded services of the previous snapshot whose
 // chunks did not change. previous may be nil. References are always resolved again.
 func Rebuild(previous *Snapshot, v *release.Verified, chunks ChunkSource) (*Snapshot, error) {
+	return rebuild(previous, v, func(ref release.ChunkRef) (*Service, error) { return loadService(ref, chunks) })
+}
+
+// rebuild is Rebuild with a function that returns the decoded and valid service of a chunk.
+func rebuild(previous *Snapshot, v *release.Verified, load func(release.ChunkRef) (*Service, error)) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:  v.Version,
 		KeyID:    v.KeyID,
@@ -91,7 +96,7 @@
 		svc := previous.reusableService(ref)
 		if svc == nil {
 			var err error
-			if svc, err = loadService(ref, chunks); err != nil {
+			if svc, err = load(ref); err != nil {
 				return nil, err
 			}
 		}
--- a/core/mesh/source.go
+++ b/core/mesh/source.go
@@ -19,21 +19,22 @@
 	Services   []*Service
 }
 
-// BuildPublished encodes p as a release and builds its snapshot. It reuses services of
+// BuildPublished takes over the services of p, which must not be changed afterwards. It encodes
+// p as a release and builds its snapshot. It reuses services of
 // the previous snapshot that did not change; previous may be nil. On an error it
 // returns no snapshot.
 func BuildPublished(previous *Snapshot, p *Published) (*Snapshot, error) {
 	services := slices.Clone(p.Services)
 	slices.SortFunc(services, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
 	m := &release.Manifest{Format: release.FormatVersion, Deployment: p.Deployment, Sequence: p.Sequence}
-	chunks := make(map[release.Digest][]byte, len(services))
+	built := make(map[release.Digest]*Service, len(services))
 	for _, svc := range services {
 		data, err := svc.Encode()
 		if err != nil {
 			return nil, err
 		}
 		digest := release.DigestOf(data)
-		chunks[digest] = data
+		built[digest] = svc
 		m.Chunks = append(m.Chunks, release.ChunkRef{Name: svc.Name, Digest: digest, Size: len(data)})
 	}
 	encoded, err := m.Encode()
@@ -46,8 +47,6 @@
 		KeyID:    ApprovedBySource,
 		Approved: &release.Approved{Manifest: encoded},
 	}
-	return Rebuild(previous, v, func(d release.Digest) ([]byte, bool) {
-		data, found := chunks[d]
-		return data, found
-	})
+	// The services were validated by Encode, so they need not be decoded from their chunks.
+	return rebuild(previous, v, func(ref release.ChunkRef) (*Service, error) { return built[ref.Digest], nil })
 }
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -79,7 +79,8 @@
 	StartedAtMs int64
 }
 
-// Decoder interprets items. Its methods are called by one goroutine at a time.
+// Decoder interprets items. Release is called by one goroutine at a time, and so are Kind and
+// Server.
 type Decoder interface {
 	// Kind returns the type of the item with the given key.
 	Kind(key string) Kind
--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -181,7 +181,11 @@
 	items []source.Item
 }
 
+// add adds the release item that the node holds now.
 func (h *releaseHistory) add(item source.Item) {
+	if n := len(h.items); n > 0 && h.items[n-1].Revision >= item.Revision {
+		return
+	}
 	h.items = append(h.items, item)
 	if len(h.items) > keptReleases {
 		h.items = slices.Delete(h.items, 0, len(h.items)-keptReleases)
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -51,6 +51,9 @@
 	// encoded and releases serve to encode changes for other nodes.
 	encoded  encodedChanges
 	releases releaseHistory
+
+	// applyMu guards the fields below and is locked before mu.
+	applyMu sync.Mutex
 	// snapshot is the active release. releaseRevision is the revision of the last release
 	// item that was read; an invalid one leaves snapshot unchanged.
 	snapshot        *mesh.Snapshot
@@ -218,36 +221,45 @@
 // renewLocked tells the nodes that follow this one that the copy changed or was confirmed. The
 // caller holds mu.
 func (f *Follower) renewLocked() {
+	if item, found := f.replica.Item(source.Release); found {
+		f.releases.add(item)
+	}
 	close(f.renewed)
 	f.renewed = make(chan struct{})
 	f.signalSteer()
 }
 
-// applyReplicaLocked applies the replica's release and VM list if they changed. The caller
-// holds mu.
-func (f *Follower) applyReplicaLocked() {
-	for _, problem := range f.replica.DecodeErrors() {
+// applyReplica applies the replica's release and VM list if they changed. It does not hold mu
+// while it builds them, so that changes are passed on meanwhile.
+func (f *Follower) applyReplica() {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	f.mu.Lock()
+	problems := f.replica.DecodeErrors()
+	item, found := f.replica.Item(source.Release)
+	changes := f.replica.ListChanges()
+	var vms []vmlist.VM
+	if changes != f.listChanges {
+		vms = f.replica.VMs()
+		f.machine.SetVMs(vms)
+		f.signalSteer()
+	}
+	f.mu.Unlock()
+	for _, problem := range problems {
 		f.log.Warn().Err(problem).Str("event", "entry-unreadable").Msg("entry of a server could not be decoded; ignoring it")
 	}
-	f.applyReleaseLocked()
-	if f.listChanges == f.replica.ListChanges() {
-		return
+	if found && item.Revision != f.releaseRevision {
+		f.applyRelease(item)
+	}
+	if changes != f.listChanges {
+		f.listChanges = changes
+		f.command.ApplyVMList(&vmlist.List{Revision: changes, VMs: vms})
 	}
-	f.listChanges = f.replica.ListChanges()
-	vms := f.replica.VMs()
-	f.machine.SetVMs(vms)
-	f.command.ApplyVMList(&vmlist.List{Revision: f.listChanges, VMs: vms})
 }
 
-// applyReleaseLocked applies the replica's release if it is new and valid. The caller holds
-// mu.
-func (f *Follower) applyReleaseLocked() {
-	item, found := f.replica.Item(source.Release)
-	if !found || item.Revision == f.releaseRevision {
-		return
-	}
+// applyRelease applies a release item if it is valid. The caller holds applyMu.
+func (f *Follower) applyRelease(item source.Item) {
 	f.releaseRevision = item.Revision
-	f.releases.add(item)
 	p, err := f.decoder.Release(item.Value)
 	if err == nil {
 		var snap *mesh.Snapshot
@@ -271,8 +283,8 @@
 		case now := <-ticker.C:
 			f.mu.Lock()
 			f.replica.Expire(now)
-			f.applyReplicaLocked()
 			f.mu.Unlock()
+			f.applyReplica()
 		}
 	}
 }
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -163,22 +163,30 @@
 		return 0, errEmptyPeer
 	}
 	age := time.Duration(c.GetAgeUs())*time.Microsecond + delays.Excess(time.Duration(c.GetSentUs())*time.Microsecond, received)
+	changed, err := f.mergeCopy(c, received)
+	if changed {
+		f.applyReplica()
+	}
+	return received - age, err
+}
+
+// mergeCopy merges a copy or the changes of a peer into the replica, and reports whether it
+// held any items. What a peer that is behind says of the age of its copy holds for this one too,
+// which includes it.
+func (f *Follower) mergeCopy(c *peerpb.SourceCopy, received time.Duration) (changed bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.GetRevision() < f.replica.Revision() {
-		// The peer is behind: what it says of its own copy does not hold for this one, which
-		// includes it, as of the same time.
-		return received - age, nil
+		return false, nil
 	}
 	if len(c.GetItems()) > 0 {
 		if err := f.applyItemsLocked(c, received); err != nil {
-			return 0, err
+			return false, err
 		}
 	}
 	if c.GetRevision() > f.replica.Revision() {
-		return 0, errBehind
+		return false, errBehind
 	}
-	f.applyReplicaLocked()
 	f.renewLocked()
-	return received - age, nil
+	return len(c.GetItems()) > 0, nil
 }
--- a/node/follow/rig_test.go
+++ b/node/follow/rig_test.go
@@ -77,10 +77,10 @@
 	}
 	for _, vm := range vms {
 		n := &fleetNode{fleet: f, vm: vm, sessions: make(map[string][2]*session.Session)}
+		n.testFollower = startFollowerAs(vm, DefaultConfig(), n, n)
 		f.mu.Lock()
 		f.nodes[vm] = n
 		f.mu.Unlock()
-		n.testFollower = startFollowerAs(vm, DefaultConfig(), n, n)
 	}
 	return f
 }
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -85,11 +85,11 @@
 	}
 	f.recordSuccess()
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.replica.Replace(time.Now(), items, revision)
 	f.machine.StoreRead(began)
-	f.applyReplicaLocked()
 	f.renewLocked()
+	f.mu.Unlock()
+	f.applyReplica()
 	return nil
 }
 
@@ -103,7 +103,6 @@
 	}
 	f.recordSuccess()
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.replica.Apply(time.Now(), changes)
 	asOf := began
 	if len(changes.Changes) == 0 {
@@ -111,8 +110,9 @@
 		asOf += wait
 	}
 	f.machine.StoreRead(min(asOf, f.boot()))
-	f.applyReplicaLocked()
 	f.renewLocked()
+	f.mu.Unlock()
+	f.applyReplica()
 	return nil
 }
 
