Deliver a server's own failure if the retry gets no response; apply the VM list before the release

Change: a complete response of an attempt that is retried is kept and delivered if no later attempt has one (TestServerFailureIsDelivered, 502 before).

--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -248,13 +248,14 @@
 	for _, problem := range problems {
 		f.log.Warn().Err(problem).Str("event", "entry-unreadable").Msg("entry of a server could not be decoded; ignoring it")
 	}
-	if found && item.Revision != f.releaseRevision {
-		f.applyRelease(item)
-	}
+	// The list first: building a large release must not delay that a server is leaving.
 	if changes != f.listChanges {
 		f.listChanges = changes
 		f.command.ApplyVMList(&vmlist.List{Revision: changes, VMs: vms})
 	}
+	if found && item.Revision != f.releaseRevision {
+		f.applyRelease(item)
+	}
 }
 
 // applyRelease applies a release item if it is valid. The caller holds applyMu.
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -67,6 +67,9 @@
 	traceparent string
 	retry       retry.Call
 	tried       []*routing.Endpoint
+	// answered is an earlier attempt with a complete response of a server, for example its own
+	// failure, that is delivered if the retries get no response; nil if there is none.
+	answered *attempt
 	// retryAfter is the shortest Retry-After of the servers that refused the call for
 	// overload or were in backoff when none was left to try; 0 if none is known.
 	retryAfter time.Duration
@@ -89,6 +92,7 @@
 		}
 		if last != nil {
 			last.finish()
+			c.keepAnswer(last)
 			metrics.retries.Add(1)
 			c.logRetry(last)
 		}
@@ -108,6 +112,13 @@
 	}
 }
 
+// keepAnswer keeps the response of an attempt that is retried, if it is held completely.
+func (c *call) keepAnswer(a *attempt) {
+	if a.err == nil && !a.reply.GetMore() {
+		c.answered = a
+	}
+}
+
 // backOff waits before the next attempt, unless the caller disconnects.
 func (c *call) backOff(wait time.Duration) {
 	if wait <= 0 {
@@ -158,8 +169,8 @@
 	return string(c.exchange.Request.Header.Peek(cmp.Or(c.ingress.Headers.RequestID, proxy.RequestIDHeader)))
 }
 
-// result returns the last attempt if it has a response, and its error otherwise. a is nil if
-// no attempt was made.
+// result returns the last attempt if it has a response, otherwise an earlier one that has, and
+// otherwise the error of the last one. a is nil if no attempt was made.
 func (c *call) result(a *attempt, d retry.Decision) (*attempt, error) {
 	if a == nil {
 		return nil, verdict.Wrap(verdict.NotRun, errNoServer)
@@ -171,6 +182,9 @@
 	if d.Reason == retry.NoBudget {
 		metrics.budgetExhausted.Add(1)
 	}
+	if c.answered != nil && !errors.Is(a.err, errCallerDisconnected) {
+		return c.answered, nil
+	}
 	err := fmt.Errorf("attempt %d at %s (no retry: %s): %w", c.retry.Attempts(), a.endpoint.VM, d.Reason, a.err)
 	return nil, &verdict.Error{Verdict: c.retry.Verdict(), Err: err}
 }
--- a/node/proxy/ingress/ingress_test.go
+++ b/node/proxy/ingress/ingress_test.go
@@ -73,6 +73,33 @@
 	})
 }
 
+// Guards against a server's own response that is replaced by a failure of this node, because the
+// request was retried and the retry got no response: on the users' bench callers got 502 where a
+// server had responded with 500.
+func TestServerFailureIsDelivered(t *testing.T) {
+	Convey("If the retry of a lookup gets no response, the caller gets the server's own failure", t, func() {
+		var calls atomic.Int32
+		first := func(l *link, call *peerpb.Call, st *session.Stream) {
+			if calls.Add(1) == 1 {
+				replyShed(l, call, st)
+				return
+			}
+			dropSession(l, call, st)
+		}
+		f := newFleet(t, first, first)
+		defer f.close()
+		resp, err := f.send("GET", "/", "")
+		So(err, ShouldBeNil)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, 503)
+		So(string(body), ShouldEqual, "shed")
+		So(resp.Header.Get(verdict.Header), ShouldEqual, "ran")
+		So(f.totalCalls(), ShouldEqual, 2)
+	})
+}
+
 // leakOptions ignores two goroutines of fasthttp: the clock that runs for the life of the
 // process, and the cleaner of a worker pool, which sleeps up to 10 s after its server has
 // stopped.
