--- a/node/callerhttp/callerhttp_test.go
+++ b/node/callerhttp/callerhttp_test.go
@@ -123,7 +123,7 @@
 		r.waitFor("start", func() bool { return r.hasStarted("/hold/1") })
 		done := make(chan struct{})
 		r.tasks.Go(func() {
-			r.close0()
+			r.shutdown()
 			close(done)
 		})
 		_, err := idle.br.ReadByte()
@@ -144,7 +144,7 @@
 			defer r.server.mu.Unlock()
 			return len(r.server.conns) == 1
 		})
-		r.tasks.Go(r.close0)
+		r.tasks.Go(r.shutdown)
 		r.waitFor("shutdown", r.server.closing.Load)
 		c.get("/now/1")
 		So(c.mustRead(), ShouldResemble, answer{status: 200, body: "/now/1", closes: true})
@@ -166,8 +166,8 @@
 	})
 }
 
-// close0 shuts the server down without waiting for the rig's own tasks.
-func (r *rig) close0() {
+// shutdown shuts the server down without waiting for the rig's own tasks.
+func (r *rig) shutdown() {
 	if err := r.server.Shutdown(context.Background()); err != nil {
 		r.t.Error(err)
 	}
--- a/node/callerhttp/exchange.go
+++ b/node/callerhttp/exchange.go
@@ -32,11 +32,6 @@
 // been paused with the bytes already there, it is the beginning of the pause.
 func (x *Exchange) Arrived() time.Time { return x.arrived }
 
-// NewExchange returns an exchange without a connection, for tests of handlers.
-func NewExchange(ctx context.Context) *Exchange {
-	return &Exchange{ctx: ctx, arrived: time.Now()}
-}
-
 var exchangePool = sync.Pool{New: func() any { return new(Exchange) }}
 
 func acquireExchange(ctx context.Context, arrived time.Time) *Exchange {
--- /dev/null
+++ b/node/callerhttp/run.go
@@ -0,0 +1,120 @@
+package callerhttp
+
+import "time"
+
+// begin starts the exchange of a request that was read, or that could not be read because of
+// err. It returns false if the connection closes before the exchange, which it then does not
+// keep.
+func (c *conn) begin(x *Exchange, err error) bool {
+	concurrent := true
+	if err != nil {
+		x.closes = true
+		x.task = rejection{handler: c.server.handler, exchange: x, err: err}
+	} else {
+		x.task = c.server.handler.Accept(x)
+		concurrent = x.task.Concurrent()
+	}
+	if !c.pipeline.add(x, concurrent) {
+		return false
+	}
+	if x.turn != nil {
+		c.server.addWaiting(1)
+		stats.pipelined.Add(1)
+	}
+	c.tasks.Go(func() { c.run(x) })
+	return true
+}
+
+// rejection is the task of a request that could not be read.
+type rejection struct {
+	handler  Handler
+	exchange *Exchange
+	err      error
+}
+
+// Concurrent implements Task. A rejection reaches no server.
+func (r rejection) Concurrent() bool { return true }
+
+// Deadline implements Task.
+func (r rejection) Deadline() time.Time { return r.exchange.arrived }
+
+// Run implements Task.
+func (r rejection) Run() { r.handler.Reject(r.exchange, r.err) }
+
+// run runs the task of an exchange and writes the response at its turn. It runs on the
+// goroutine of the exchange.
+func (c *conn) run(x *Exchange) {
+	behind := x.turn != nil
+	ran := c.awaitStart(x)
+	if ran {
+		x.task.Run()
+	}
+	c.pipeline.returned(x)
+	if behind {
+		<-x.turn
+	}
+	if ran {
+		c.respond(x)
+	}
+	c.lastAnswer.Store(time.Now().UnixNano())
+	c.pipeline.done(x)
+	if behind {
+		c.server.addWaiting(-1)
+	}
+	releaseExchange(x)
+	select {
+	case c.answered <- struct{}{}:
+	default:
+	}
+}
+
+// awaitStart waits until the exchange may run, or until its deadline: its task then finds that
+// it is too late. It returns false if the exchange must not run.
+func (c *conn) awaitStart(x *Exchange) bool {
+	if x.mayStart != nil {
+		timer := time.NewTimer(time.Until(x.task.Deadline()))
+		defer timer.Stop()
+		select {
+		case <-x.mayStart:
+		case <-timer.C:
+		case <-c.ctx.Done():
+		}
+	}
+	return c.ctx.Err() == nil && c.pipeline.start(x)
+}
+
+// respond writes the response of x, whose turn it is. If that fails, the caller can tell that
+// the response is incomplete, because the connection is cut.
+func (c *conn) respond(x *Exchange) {
+	final, ok := c.pipeline.respond(x, x.closes || x.Response.ConnectionClose() || c.server.stopping())
+	if !ok {
+		_ = x.Response.CloseBodyStream()
+		return
+	}
+	setFraming(x, final)
+	_ = c.nc.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout))
+	err := x.Response.Write(c.bw)
+	if err == nil {
+		err = c.bw.Flush()
+	}
+	switch {
+	case err != nil:
+		_ = x.Response.CloseBodyStream()
+		stats.cut.Add(1)
+		c.abort()
+	case final:
+		c.linger()
+	}
+}
+
+// linger tells the caller that no further response follows and makes the reading goroutine
+// stop reading.
+func (c *conn) linger() {
+	if tcp, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		_ = tcp.CloseWrite()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = true
+	_ = c.nc.SetReadDeadline(pastDeadline)
+}
--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -1,28 +1,16 @@
 package follow
 
 import (
-	"errors"
-	"fmt"
 	"slices"
 	"time"
 
 	"auburnladder.example/core/source"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
-	"github.com/cespare/xxhash/v2"
-	"github.com/klauspost/compress/s2"
-	"github.com/klauspost/compress/zstd"
 	"github.com/sourcegraph/conc"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
-	// maxCopyBytes is the largest uncompressed size of the items of a copy, and of a value
-	// that a patch gives.
-	maxCopyBytes = 16 << 20
-	// minPatchBytes is the size from which a changed value is sent as a patch of the one
-	// before.
-	minPatchBytes = 2 << 10
 	// keptReleases is the number of release items that are kept as bases of patches.
 	keptReleases = 4
 	// keptEncodings is the number of encoded sets of changes that are kept for further nodes.
@@ -202,101 +190,3 @@
 	}
 	return source.Item{}
 }
-
-// encodeChanges encodes changes for nodes that hold the item base.
-func encodeChanges(changes []source.Change, base source.Item) []byte {
-	m := &peerpb.SourceItems{Items: make([]*peerpb.SourceItem, 0, len(changes))}
-	for _, ch := range changes {
-		item := &peerpb.SourceItem{Key: ch.Key, Revision: ch.Revision, Removed: ch.Removed}
-		if ch.Key == base.Key && len(ch.Value) >= minPatchBytes {
-			item.Patch, item.Base, item.Sum = diff(base.Value, ch.Value), base.Revision, xxhash.Sum64(ch.Value)
-		}
-		if item.Patch == nil {
-			item.Value, item.Base, item.Sum = ch.Value, 0, 0
-		}
-		m.Items = append(m.Items, item)
-	}
-	// Encoding strings, bytes and integers cannot fail.
-	data, _ := proto.Marshal(m)
-	return s2.Encode(nil, data)
-}
-
-// decodeChanges decodes what encodeChanges returns. value returns the local value of a key at a
-// revision.
-func decodeChanges(data []byte, value func(key string, revision uint64) ([]byte, bool)) ([]source.Change, error) {
-	size, err := s2.DecodedLen(data)
-	if err != nil {
-		return nil, fmt.Errorf("copy of the store: %w", err)
-	}
-	if size > maxCopyBytes {
-		return nil, fmt.Errorf("copy of the store: %d bytes, expected at most %d", size, maxCopyBytes)
-	}
-	raw, err := s2.Decode(nil, data)
-	if err != nil {
-		return nil, fmt.Errorf("copy of the store: %w", err)
-	}
-	var m peerpb.SourceItems
-	if err := proto.Unmarshal(raw, &m); err != nil {
-		return nil, fmt.Errorf("copy of the store: %w", err)
-	}
-	changes := make([]source.Change, len(m.GetItems()))
-	for i, p := range m.GetItems() {
-		ch := source.Change{Item: source.Item{Key: p.GetKey(), Value: p.GetValue(), Revision: p.GetRevision()}, Removed: p.GetRemoved()}
-		if p.GetPatch() != nil {
-			if ch.Value, err = patched(p, value); err != nil {
-				return nil, fmt.Errorf("copy of the store: %s: %w", p.GetKey(), err)
-			}
-		}
-		changes[i] = ch
-	}
-	return changes, nil
-}
-
-// diff returns value compressed with old as its dictionary, or nil if that fails.
-func diff(old, value []byte) []byte {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(patchDictionary, old), zstd.WithEncoderConcurrency(1),
-		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(patchWindow(len(old)+len(value))), zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		return nil
-	}
-	defer enc.Close()
-	return enc.EncodeAll(value, nil)
-}
-
-// patchDictionary is the number of the dictionary in a patch; its value has no meaning.
-const patchDictionary = 1
-
-// patchWindow returns the size of the window, a power of two, in which the encoder finds all of
-// size bytes.
-func patchWindow(size int) int {
-	window := zstd.MinWindowSize
-	for window < size && window < maxCopyBytes {
-		window *= 2
-	}
-	return window
-}
-
-// errNoBase reports a patch of a value that this node does not hold.
-var errNoBase = errors.New("no value for the patch")
-
-// patched returns the value of an item that was sent as a patch.
-func patched(p *peerpb.SourceItem, value func(key string, revision uint64) ([]byte, bool)) ([]byte, error) {
-	old, found := value(p.GetKey(), p.GetBase())
-	if !found {
-		return nil, fmt.Errorf("%w: revision %d", errNoBase, p.GetBase())
-	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderDictRaw(patchDictionary, old), zstd.WithDecoderConcurrency(1),
-		zstd.WithDecoderMaxMemory(maxCopyBytes), zstd.WithDecoderLowmem(true))
-	if err != nil {
-		return nil, err
-	}
-	defer dec.Close()
-	result, err := dec.DecodeAll(p.GetPatch(), nil)
-	if err != nil {
-		return nil, err
-	}
-	if xxhash.Sum64(result) != p.GetSum() {
-		return nil, fmt.Errorf("patch does not give the expected value")
-	}
-	return result, nil
-}
