Follow the store: count the first message's delay, end streams at a stop, refuse what cannot be encoded

The delay of a stream's first message counted as none, and that of later ones was measured against it: a copy that was under way for 2 s looked fresh, so a node could miss changes beyond the bound. Now the first message is bounded by when it was asked for. TestMessageDelays (0 before, 2 s after); requests to random peers use the same. 2. A node that stops kept the streams of the spread open, so each stop waited its 500 ms for streams that never end, and the nodes below learned of it only by the end of the process. Follower.Stop ends them. TestStoppedFollower (deadline before, end of the stream after). 3. A copy that could not be encoded was sent without items: for a whole copy its receiver would have dropped all it held. It is an error now and nothing is sent. TestCopyThatCannotBeEncoded. 4. Log lines source-parent and parent-failed had the key vm twice; the other node is parent now.

Ruled out: a delay that lasts for minutes is still taken as normal after a while (core/transit, as for calls). A failed try: a test whose decoder panicked under the lock hung for ten minutes; rewritten.

--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -43,7 +43,11 @@
 	}
 	for first := true; ; first = false {
 		// Only of what this stream has sent is it known that the node holds it.
-		c, renewed := f.copySince(after, !first)
+		c, renewed, err := f.copySince(after, !first)
+		if err != nil {
+			f.log.Error().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be encoded")
+			return
+		}
 		st.SetWriteDeadline(time.Now().Add(sendTimeout))
 		if err := st.Send(c); err != nil {
 			f.log.Debug().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be sent")
@@ -57,6 +61,8 @@
 		case <-renewed:
 		case <-ended:
 			return
+		case <-f.stopped:
+			return
 		}
 	}
 }
@@ -64,7 +70,7 @@
 // copySince returns the changes after a revision, or the whole copy if they are not known, and
 // a channel that is closed when the copy has changed or was confirmed. With patch, a changed
 // release may be sent as a patch of the one at that revision.
-func (f *Follower) copySince(after uint64, patch bool) (*peerpb.SourceCopy, <-chan struct{}) {
+func (f *Follower) copySince(after uint64, patch bool) (*peerpb.SourceCopy, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.boot()
@@ -76,28 +82,33 @@
 		GraceUs:   f.replica.GraceLeft(time.Now()).Microseconds(),
 	}
 	if c.Revision > after {
-		c.After, c.Items = f.encodeSinceLocked(after, patch)
+		var err error
+		if c.After, c.Items, err = f.encodeSinceLocked(after, patch); err != nil {
+			return nil, nil, err
+		}
 	}
-	return c, f.renewed
+	return c, f.renewed, nil
 }
 
 // encodeSinceLocked returns the encoded changes after a revision, or the whole copy with base
 // 0. The caller holds mu.
-func (f *Follower) encodeSinceLocked(after uint64, patch bool) (base uint64, data []byte) {
+func (f *Follower) encodeSinceLocked(after uint64, patch bool) (base uint64, data []byte, err error) {
 	if !f.replica.Knows(after) {
 		after, patch = 0, false
 	}
 	key := encodingKey{after: after, revision: f.replica.Revision(), patched: patch}
 	if data := f.encoded.find(key); data != nil {
-		return after, data
+		return after, data, nil
 	}
 	var old source.Item
 	if patch {
 		old = f.releases.at(after)
 	}
-	data = encodeChanges(f.replica.Since(after), old)
+	if data, err = encodeChanges(f.replica.Since(after), old); err != nil {
+		return 0, nil, err
+	}
 	f.encoded.add(key, data)
-	return after, data
+	return after, data, nil
 }
 
 // applyItemsLocked applies the items of c. The caller holds mu.
--- a/node/follow/encoding.go
+++ b/node/follow/encoding.go
@@ -22,7 +22,7 @@
 )
 
 // encodeChanges encodes changes for nodes that hold the item base.
-func encodeChanges(changes []source.Change, base source.Item) []byte {
+func encodeChanges(changes []source.Change, base source.Item) ([]byte, error) {
 	m := &peerpb.SourceItems{Items: make([]*peerpb.SourceItem, 0, len(changes))}
 	for _, ch := range changes {
 		item := &peerpb.SourceItem{Key: ch.Key, Revision: ch.Revision, Removed: ch.Removed}
@@ -34,9 +34,11 @@
 		}
 		m.Items = append(m.Items, item)
 	}
-	// Encoding strings, bytes and integers cannot fail.
-	data, _ := proto.Marshal(m)
-	return s2.Encode(nil, data)
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("copy of the store: %w", err)
+	}
+	return s2.Encode(nil, data), nil
 }
 
 // decodeChanges decodes what encodeChanges returns. value returns the local value of a key at a
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -36,6 +36,9 @@
 	failing atomic.Bool
 	// calls tracks the open calls to the store, which may outlive Run.
 	calls conc.WaitGroup
+	// stopped is closed by Stop.
+	stopped  chan struct{}
+	stopOnce sync.Once
 	// steer receives a value when the decision of the machine may have changed.
 	steer chan struct{}
 
@@ -77,6 +80,7 @@
 		log:          log,
 		boot:         boot,
 		watchLimiter: rate.NewLimiter(rate.Every(cfg.ApplyWithin/combineDivisor), combineBurst),
+		stopped:      make(chan struct{}),
 		steer:        make(chan struct{}, 1),
 		replica:      source.NewReplica(cfg.Replica, d),
 		machine:      spread.NewMachine(limits, id.VM, id.Domain, boot()),
@@ -110,11 +114,24 @@
 	return s
 }
 
-// Run keeps the node in sync with the store until ctx ends. Calls to the store that are
-// open then may outlive it.
+// Stop ends Run and the streams to the nodes that follow this one, which then turn to others.
+// What the node holds stays in force. It may be called repeatedly and from any goroutine.
+func (f *Follower) Stop() { f.stopOnce.Do(func() { close(f.stopped) }) }
+
+// Run keeps the node in sync with the store until ctx ends or Stop is called. Calls to the store
+// that are open then may outlive it.
 func (f *Follower) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
+	defer cancel()
+	tasks.Go(func() {
+		select {
+		case <-f.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
 	tasks.Go(func() { f.control(ctx) })
 	tasks.Go(func() { f.askPeers(ctx) })
 	tasks.Go(func() { f.expire(ctx) })
@@ -132,7 +149,7 @@
 		if next := vmID(d.Parent); next != parent {
 			stop()
 			parent, stop = next, func() {}
-			f.log.Info().Str("event", "source-parent").Str("vm", next).Bool("reads_store", d.ReadStore).
+			f.log.Info().Str("event", "source-parent").Str("parent", next).Bool("reads_store", d.ReadStore).
 				Dur("age_ms", f.Status().Age).Msg("changes of the store are taken from this node from now on; none means from the store")
 			if next != "" {
 				stop = f.startParent(ctx, &tasks, *d.Parent)
@@ -221,7 +238,7 @@
 // renewLocked tells the nodes that follow this one that the copy changed or was confirmed. The
 // caller holds mu.
 func (f *Follower) renewLocked() {
-	if item, found := f.replica.Item(source.Release); found {
+	if item, found := f.replica.Release(); found {
 		f.releases.add(item)
 	}
 	close(f.renewed)
@@ -236,7 +253,7 @@
 	defer f.applyMu.Unlock()
 	f.mu.Lock()
 	problems := f.replica.DecodeErrors()
-	item, found := f.replica.Item(source.Release)
+	item, found := f.replica.Release()
 	changes := f.replica.ListChanges()
 	var vms []vmlist.VM
 	if changes != f.listChanges {
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -310,7 +310,8 @@
 	noValue := func(string, uint64) ([]byte, bool) { return nil, false }
 	Convey("A copy contains every change, and damaged data are rejected", t, func() {
 		changes := []source.Change{{Item: source.Item{Key: "a", Value: []byte("1"), Revision: 3}}, {Item: source.Item{Key: "b", Revision: 4}, Removed: true}}
-		data := encodeChanges(changes, source.Item{})
+		data, err := encodeChanges(changes, source.Item{})
+		So(err, ShouldBeNil)
 		got, err := decodeChanges(data, noValue)
 		So(err, ShouldBeNil)
 		So(got, ShouldHaveLength, 2)
@@ -329,9 +330,11 @@
 	Convey("A peer receives a copy only if it is newer than the peer's own", t, func() {
 		f := New(DefaultConfig(), newFakeStore(), plainDecoder{}, noPeers{}, &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}, bootClock(), zerolog.Nop())
 		f.replica.Replace(time.Now(), []source.Item{{Key: "10.0.0.2", Revision: 8}}, 9)
-		c, _ := f.copySince(9, false)
+		c, _, err := f.copySince(9, false)
+		So(err, ShouldBeNil)
 		So(c.GetItems(), ShouldBeEmpty)
-		c, _ = f.copySince(8, false)
+		c, _, err = f.copySince(8, false)
+		So(err, ShouldBeNil)
 		So(c.GetItems(), ShouldNotBeEmpty)
 		So(c.GetRevision(), ShouldEqual, 9)
 	})
@@ -346,7 +349,8 @@
 			changed = append(changed, row...)
 		}
 		base := source.Item{Key: "config", Value: old, Revision: 3}
-		data := encodeChanges([]source.Change{{Item: source.Item{Key: "config", Value: changed, Revision: 9}}}, base)
+		data, err := encodeChanges([]source.Change{{Item: source.Item{Key: "config", Value: changed, Revision: 9}}}, base)
+		So(err, ShouldBeNil)
 		So(len(data), ShouldBeLessThan, len(s2.Encode(nil, changed))/50)
 		held := func(key string, revision uint64) ([]byte, bool) { return old, key == "config" && revision == 3 }
 		got, err := decodeChanges(data, held)
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -42,7 +42,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.log.Debug().Err(err).Str("event", "parent-failed").Str("vm", vm.ID).Msg("changes of the store can no longer be taken from this node")
+	f.log.Debug().Err(err).Str("event", "parent-failed").Str("parent", vm.ID).Msg("changes of the store can no longer be taken from this node")
 	f.mu.Lock()
 	f.machine.ParentFailed(f.boot(), vm.ID)
 	f.mu.Unlock()
@@ -58,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	asked := f.boot()
 	st, err := ses.Open(copyRequest(after, true))
 	if err != nil {
 		return err
@@ -71,7 +72,7 @@
 			f.peers.Retire(vm.ID, ses)
 		}
 	}()
-	var delays transit.Estimator
+	delays := messageDelays{asked: asked}
 	for {
 		var c peerpb.SourceCopy
 		if err := st.Recv(&c); err != nil {
@@ -89,6 +90,25 @@
 	}
 }
 
+// messageDelays bounds how long the messages of a stream were under way, although the clocks of
+// the two VMs have nothing in common. The first message was not sent before it was asked for;
+// later ones are compared with the fastest ones.
+type messageDelays struct {
+	// asked is when the stream was opened, by the local clock.
+	asked     time.Duration
+	started   bool
+	estimator transit.Estimator
+}
+
+// delay returns an upper bound of the delay of a message, but for a delay that lasts. sent is by the clock of the sender.
+func (d *messageDelays) delay(sent, received time.Duration) time.Duration {
+	if !d.started {
+		d.started = true
+		d.estimator.Excess(sent, d.asked)
+	}
+	return d.estimator.Excess(sent, received)
+}
+
 // pastDeadline is a stream deadline that interrupts pending reads and writes at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -131,10 +151,7 @@
 	if err := ses.Exchange(ctx, copyRequest(before, false), &c); err != nil {
 		return err
 	}
-	// The peer's clock is not needed: its answer is not older than the request.
-	c.SentUs = 0
-	c.AgeUs += (f.boot() - asked).Microseconds()
-	asOf, err := f.applyCopy(&c, nil)
+	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked})
 	if err != nil {
 		return err
 	}
@@ -156,13 +173,13 @@
 )
 
 // applyCopy applies a copy or the changes of a peer and returns the time as of which this
-// node's copy is complete by it. delays estimates how long the message was under way.
-func (f *Follower) applyCopy(c *peerpb.SourceCopy, delays *transit.Estimator) (time.Duration, error) {
+// node's copy is complete by it.
+func (f *Follower) applyCopy(c *peerpb.SourceCopy, delays *messageDelays) (time.Duration, error) {
 	received := f.boot()
 	if c.GetRevision() == 0 {
 		return 0, errEmptyPeer
 	}
-	age := time.Duration(c.GetAgeUs())*time.Microsecond + delays.Excess(time.Duration(c.GetSentUs())*time.Microsecond, received)
+	age := time.Duration(c.GetAgeUs())*time.Microsecond + delays.delay(time.Duration(c.GetSentUs())*time.Microsecond, received)
 	changed, err := f.mergeCopy(c, received)
 	if changed {
 		f.applyReplica()
--- a/node/follow/spread_test.go
+++ b/node/follow/spread_test.go
@@ -1,10 +1,17 @@
 package follow
 
 import (
+	"context"
+	"io"
+	"net/netip"
 	"testing"
 	"time"
 
+	"auburnladder.example/core/source"
+	"auburnladder.example/node/command"
+	"auburnladder.example/node/state"
 	"auburnladder.example/wire/peerpb"
+	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
 )
@@ -63,16 +70,74 @@
 		newer.mu.Lock()
 		newer.replica.Replace(time.Now(), nil, 9)
 		newer.mu.Unlock()
-		_, err := newer.applyCopy(&peerpb.SourceCopy{Revision: 4, AgeUs: 1000}, nil)
+		_, err := newer.applyCopy(&peerpb.SourceCopy{Revision: 4, AgeUs: 1000}, new(messageDelays))
 		So(err, ShouldBeNil)
 		So(newer.revision(), ShouldEqual, 9)
-		items := encodeChanges(nil, newer.releases.at(0))
-		_, err = older.applyCopy(&peerpb.SourceCopy{Revision: 20, After: 15, Items: items}, nil)
+		items, err := encodeChanges(nil, source.Item{})
+		So(err, ShouldBeNil)
+		_, err = older.applyCopy(&peerpb.SourceCopy{Revision: 20, After: 15, Items: items}, new(messageDelays))
 		So(err, ShouldEqual, errGap)
 		So(older.revision(), ShouldEqual, 0)
-		_, err = older.applyCopy(&peerpb.SourceCopy{Revision: 20}, nil)
+		_, err = older.applyCopy(&peerpb.SourceCopy{Revision: 20}, new(messageDelays))
 		So(err, ShouldEqual, errBehind)
-		_, err = older.applyCopy(&peerpb.SourceCopy{}, nil)
+		_, err = older.applyCopy(&peerpb.SourceCopy{}, new(messageDelays))
 		So(err, ShouldEqual, errEmptyPeer)
 	})
 }
+
+// Guards against a copy that counts as fresh although its message was under way for long: the
+// node would then not notice in time that it misses changes.
+func TestMessageDelays(t *testing.T) {
+	Convey("The delay of a message counts, also of the first one, whatever the sender's clock says", t, func() {
+		for _, offset := range []time.Duration{-time.Hour, 0, time.Hour} {
+			d := messageDelays{asked: 10 * time.Second}
+			sent := 10*time.Second + time.Millisecond + offset
+			So(d.delay(sent, 12*time.Second), ShouldEqual, 2*time.Second)
+			// Three seconds later, two milliseconds under way: 1 ms of the request is not known apart.
+			So(d.delay(sent+3*time.Second, 13*time.Second+3*time.Millisecond), ShouldEqual, 3*time.Millisecond)
+			So(d.delay(sent+4*time.Second, 15*time.Second), ShouldEqual, time.Second)
+		}
+	})
+}
+
+// otherDecoder ignores all keys.
+type otherDecoder struct{ plainDecoder }
+
+func (otherDecoder) Kind(string) source.Kind { return source.Other }
+
+// Guards against a copy without items that takes the items of the node that gets it.
+func TestCopyThatCannotBeEncoded(t *testing.T) {
+	Convey("Nothing is sent if the items cannot be encoded", t, func() {
+		cmd := &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}
+		f := New(DefaultConfig(), newFakeStore(), otherDecoder{}, noPeers{}, cmd, bootClock(), zerolog.Nop())
+		f.replica.Replace(time.Now(), []source.Item{{Key: "a", Revision: 1}, {Key: "not UTF-8: \xff", Revision: 2}}, 2)
+		_, _, err := f.copySince(0, false)
+		So(err, ShouldNotBeNil)
+	})
+}
+
+// Guards against nodes that learn late that the one they take changes from has stopped, and
+// against a stop that waits for streams that never end.
+func TestStoppedFollower(t *testing.T) {
+	Convey("When the node that reads the store stops following, its streams end and another one takes over", t, func() {
+		f := newFleet(t, "10.0.0.1", "10.0.0.2", "10.0.0.3")
+		eventually(t, func() bool { return f.settled() && f.all(1) })
+		root, others := f.root()
+		// A stream that its reader does not end.
+		ses, err := others[0].Get(context.Background(), root.vm, netip.AddrPort{})
+		So(err, ShouldBeNil)
+		st, err := ses.Open(copyRequest(0, true))
+		So(err, ShouldBeNil)
+		st.SetDeadline(time.Now().Add(waitTimeout))
+		So(st.Recv(&peerpb.SourceCopy{}), ShouldBeNil)
+		root.Stop()
+		for err == nil {
+			err = st.Recv(&peerpb.SourceCopy{})
+		}
+		So(err, ShouldEqual, io.EOF)
+		st.Close()
+		f.store.put("config", "\x09")
+		eventually(t, func() bool { return others[0].sequence() == 9 && others[1].sequence() == 9 })
+		f.close()
+	})
+}
--- a/node/stopper.go
+++ b/node/stopper.go
@@ -77,6 +77,7 @@
 		return false
 	}
 	n.stopCallers()
+	n.follower.Stop()
 	// A stream stays open until the peer has read the complete response. A stream to a node
 	// that has failed stays open longer, so the wait is bounded.
 	if !s.waitUntil(ctx, time.Now().Add(responseReadTimeout), func() bool { return n.peers.Streams() == 0 }) {
