Record the rate limit that a backend server announces

The server's node now logs each change of the announced limit (server-limit) and has metrics of the limit and of the requests sent. Nothing uses the limit yet.

--- a/core/wirenames/headers.go
+++ b/core/wirenames/headers.go
@@ -20,4 +20,7 @@
 	NotExecuted string
 	// Caller is the name of the local service of the ingress node.
 	Caller string
+	// RateLimit in a response is the number of requests per second, a decimal number, that the
+	// server accepts from all nodes together. It holds until a response does not have it.
+	RateLimit string
 }
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -64,6 +64,10 @@
 	// active counts admitted calls whose reply has not been sent completely to the peer.
 	active atomic.Int64
 
+	// announcedRate is the rate limit, in requests per second, that the server announced in its
+	// latest response, as math.Float64bits; 0 for none.
+	announcedRate atomic.Uint64
+
 	// mu guards appliedServer, the server limits applied last.
 	mu            sync.Mutex
 	appliedServer mesh.Server
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -272,6 +272,7 @@
 			return sentRequest{}, newRefusal(peerpb.Refusal_REFUSAL_DEADLINE, "call not sent: its deadline passed, it was cancelled or this node was paused")
 		}
 		x.started = now
+		egressStats.Add("sent", 1)
 		conn.beginRequest(now)
 		stop := context.AfterFunc(ctx, func() { x.interrupt(conn, x.call.GetMore()) })
 		err = conn.writeRequest(req)
--- a/node/proxy/egress/identify.go
+++ b/node/proxy/egress/identify.go
@@ -37,6 +37,7 @@
 			return err
 		}
 		if x.matchesRequest(resp) {
+			x.recordAnnouncements(resp)
 			return x.validateSuccess(resp)
 		}
 		egressStats.Add("foreign_answers", 1)
