Start no more requests per second than the backend server announces

Callers saw nothing: the servers ran what they got.

Cause: the server's node limits the requests that run at a time; nothing limited the starts per second, and nothing used the limit that the server states. Ruled out by logs: a limit kept by each node for itself (one node sends to a server) and a limit that is forgotten.

Change: what a run of a server says in its responses is kept with that run, and the limiter spaces the starts (generic cell rate algorithm, burst of 100 ms). Waiting requests start when their time comes; those that cannot start in time are refused at once, with the time until the queue is served. The load that a node reports to the others counts the requests that the rate keeps in flight, so that they choose other servers first. A limit of nothing still lets one request start every 2 s: only a response can raise it. It holds until a response without it or a new run.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -4,8 +4,8 @@
 // Each backend server has one Limiter, in the node on its VM. All requests to the server
 // go through that node, so the limiter's counts are exact. A request is granted a slot,
 // waits in a short queue, or is refused before any byte is sent to the server. The limit
-// is lowered when the server sheds requests or slows down. Under overload the callers
-// share the queue by weight.
+// is lowered when the server sheds requests or slows down. If the server asks for it, the
+// starts per second are limited too. Under overload the callers share the queue by weight.
 //
 // Limiter and PauseDetector are safe for concurrent use. The package starts no goroutines
 // and reads no clock; the current time is passed in.
@@ -32,6 +32,8 @@
 	ReasonLeaving
 	// ReasonCancelled means that the caller disconnected while the request was queued.
 	ReasonCancelled
+	// ReasonRateLimit means that the server's rate limit allows no start soon enough.
+	ReasonRateLimit
 )
 
 // String returns the name used in logs and metrics.
@@ -45,6 +47,8 @@
 		return "leaving"
 	case ReasonCancelled:
 		return "cancelled"
+	case ReasonRateLimit:
+		return "rate-limit"
 	default:
 		return "none"
 	}
@@ -115,13 +119,16 @@
 	Unmeasured bool
 }
 
-// Load is a snapshot of the limiter's state. InFlight, Queued and Limit are numbers of
-// requests.
+// Load is a snapshot of the limiter's state. InFlight, Queued, Limit and Sustained are
+// numbers of requests.
 type Load struct {
 	InFlight int
 	Queued   int
 	Limit    int
 	Closed   bool
+	// Sustained is the number of requests that are in flight on average while the limits are
+	// used up. It is below Limit if a rate limit keeps fewer in flight.
+	Sustained int
 }
 
 // Weights of the priorities under OrderFair.
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -8,8 +8,8 @@
 	"auburnladder.example/core/mesh"
 )
 
-// Limiter limits the concurrent requests to one backend server. Create it with New. It is
-// safe for concurrent use.
+// Limiter limits the concurrent requests to one backend server and, if the server asks for
+// it, the requests per second. Create it with New. It is safe for concurrent use.
 type Limiter struct {
 	cfg   Config
 	times *serviceTimes
@@ -17,6 +17,7 @@
 	// mu is held.
 	state    atomic.Uint64
 	adaptive adaptiveLimit
+	rate     rateLimit
 
 	mu         sync.Mutex
 	queue      waitQueue
@@ -66,12 +67,12 @@
 
 // Acquire requests a slot. After Granted, the caller must call Release when the request
 // ends. After Queued, it must wait for Waiter.Done or call Abandon. It takes no lock if a
-// slot is free and nothing is queued.
+// slot is free, nothing is queued and there is no rate limit.
 func (l *Limiter) Acquire(now time.Time, req Request) Decision {
 	if l.times.wouldMissDeadline(now, req) {
 		return l.newRefusal(ReasonDeadline)
 	}
-	for s := l.load(); s.hasFreeSlot(); s = l.load() {
+	for s := l.load(); s.hasFreeSlot() && !l.rate.limited(); s = l.load() {
 		if l.compareAndSwap(s, s.addInFlight(1)) {
 			return Decision{Outcome: Granted}
 		}
@@ -89,23 +90,38 @@
 		switch {
 		case s.closed():
 			return l.newRefusal(ReasonLeaving)
-		case s.hasFreeSlot():
+		case l.mayStart(now, s):
 			if l.compareAndSwap(s, s.addInFlight(1)) {
+				l.rate.take(now)
 				return Decision{Outcome: Granted}
 			}
 		case !l.admitToQueue(now, s, req):
-			return l.newRefusal(ReasonOverload)
+			return l.newRefusal(l.fullReason(s))
 		default:
 			// If a slot became free after s was read, do not queue. A change after this
 			// read makes the compare-and-swap fail.
 			s = l.load()
-			if !s.closed() && !s.hasFreeSlot() && l.compareAndSwap(s, s.addWaiting(1)) {
+			if !s.closed() && !l.mayStart(now, s) && l.compareAndSwap(s, s.addWaiting(1)) {
 				return Decision{Outcome: Queued, Waiter: l.queue.push(l.newWaiter(now, req))}
 			}
 		}
 	}
 }
 
+// mayStart reports whether a new request may start now without overtaking a waiter. It
+// requires mu.
+func (l *Limiter) mayStart(now time.Time, s state) bool {
+	return s.hasFreeSlot() && l.rate.allows(now)
+}
+
+// fullReason returns the reason why a request neither starts nor is queued.
+func (l *Limiter) fullReason(s state) Reason {
+	if l.rate.limited() && s.inFlight() < s.limit() {
+		return ReasonRateLimit
+	}
+	return ReasonOverload
+}
+
 func (l *Limiter) newWaiter(now time.Time, req Request) *Waiter {
 	w := waiterFor(now, req, l.times)
 	w.queueDeadline = l.queueDeadline(now, req)
@@ -117,7 +133,7 @@
 // to wait beyond its queue deadline or to finish after its response deadline. If the queue
 // is full, it evicts the waiter that req displaces, if any.
 func (l *Limiter) admitToQueue(now time.Time, s state, req Request) bool {
-	start := now.Add(l.expectedWait(now, s, req))
+	start := l.expectedStart(now, s, req)
 	if start.After(l.queueDeadline(now, req)) || start.Add(l.times.median(req.Route)).After(l.responseDeadline(now, req)) {
 		return false
 	}
@@ -151,9 +167,18 @@
 	return now.Add(time.Duration(float64(remaining) * l.cfg.WaitShare))
 }
 
-// expectedWait estimates how long req would wait in the queue.
-func (l *Limiter) expectedWait(now time.Time, s state, req Request) time.Duration {
-	return l.queue.workAhead(now, req, l.times) / time.Duration(max(s.limit(), 1))
+// expectedStart estimates when req would leave the queue. It requires mu.
+func (l *Limiter) expectedStart(now time.Time, s state, req Request) time.Time {
+	start := l.rate.earliest(now, l.queue.position(now, req, l.times))
+	if s.inFlight() < s.limit() {
+		// Only the rate limit delays it.
+		return start
+	}
+	slotFree := now.Add(l.queue.workAhead(now, req, l.times) / time.Duration(max(s.limit(), 1)))
+	if slotFree.After(start) {
+		return slotFree
+	}
+	return start
 }
 
 // Release frees the slot of a request that has ended and grants it to the next waiter. It
@@ -254,6 +279,27 @@
 	l.dispatch(now)
 }
 
+// SetRateLimit limits the requests that start per second, or removes the limit if limited is
+// false. Each request that starts counts, whatever its outcome.
+func (l *Limiter) SetRateLimit(now time.Time, perSecond float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate.set(now, perSecond, limited)
+	l.dispatch(now)
+}
+
+// RefreshAt returns when a waiter must call Refresh because the rate limit may allow a start
+// then, or false if there is no rate limit.
+func (l *Limiter) RefreshAt(now time.Time) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at := l.rate.earliest(now, 1); at.After(now) {
+		return at, true
+	}
+	// All slots are taken; another waiter may use up the next start.
+	return now.Add(l.rate.spacing()), l.rate.limited()
+}
+
 // Refresh raises the limit during slow start and grants the slots that this frees. Call it
 // periodically.
 func (l *Limiter) Refresh(now time.Time) {
@@ -266,7 +312,20 @@
 // Load returns the current counts, read atomically.
 func (l *Limiter) Load() Load {
 	s := l.load()
-	return Load{InFlight: s.inFlight(), Queued: s.waiting(), Limit: s.limit(), Closed: s.closed()}
+	return Load{
+		InFlight: s.inFlight(), Queued: s.waiting(), Limit: s.limit(), Closed: s.closed(),
+		Sustained: l.sustained(s),
+	}
+}
+
+// sustained returns the number of requests that are in flight on average if the limits are
+// used up: the rate limit times the service time, at most the concurrency limit.
+func (l *Limiter) sustained(s state) int {
+	median := l.times.overallMedian()
+	if !l.rate.limited() || median == 0 {
+		return s.limit()
+	}
+	return min(s.limit(), 1+int(median/l.rate.spacing()))
 }
 
 // refreshLimit writes the current adaptive limit into the state word. It requires mu.
@@ -282,7 +341,7 @@
 func (l *Limiter) dispatch(now time.Time) {
 	for {
 		s := l.load()
-		if s.closed() || s.waiting() == 0 || s.inFlight() >= s.limit() {
+		if s.closed() || s.waiting() == 0 || s.inFlight() >= s.limit() || !l.rate.allows(now) {
 			return
 		}
 		w := l.queue.pop(now, l.times)
@@ -292,6 +351,7 @@
 			continue
 		}
 		l.update(func(s state) state { return s.addWaiting(-1).addInFlight(1) })
+		l.rate.take(now)
 		w.resolve(Decision{Outcome: Granted})
 	}
 }
@@ -314,8 +374,8 @@
 	s := l.load()
 	retryAfter := l.cfg.MaxRetryAfter
 	if reason != ReasonLeaving {
-		perSlot := l.times.overallMedian() / time.Duration(max(s.limit(), 1))
-		retryAfter = perSlot * time.Duration(s.waiting()+1)
+		perStart := max(l.times.overallMedian()/time.Duration(max(s.limit(), 1)), l.rate.spacing())
+		retryAfter = perStart * time.Duration(s.waiting()+1)
 	}
 	retryAfter = min(max(retryAfter, l.cfg.MinRetryAfter), l.cfg.MaxRetryAfter)
 	return Decision{Outcome: Refused, Reason: reason, RetryAfter: retryAfter}
--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -195,7 +195,7 @@
 	Convey("Under concurrent use no slot is lost or granted twice", t, func() {
 		So(peak.Load(), ShouldBeLessThanOrEqualTo, slots)
 		So(granted.Load(), ShouldBeGreaterThan, 0)
-		So(l.Load(), ShouldResemble, Load{Limit: slots})
+		So(l.Load(), ShouldResemble, Load{Limit: slots, Sustained: slots})
 	})
 }
 
@@ -299,7 +299,7 @@
 		<-w.Done()
 		So(w.Decision().Outcome, ShouldEqual, Granted)
 		l.SetServer(epoch, mesh.Server{Slots: 1, Connections: 1})
-		So(l.Load(), ShouldResemble, Load{InFlight: 2, Limit: 1})
+		So(l.Load(), ShouldResemble, Load{InFlight: 2, Limit: 1, Sustained: 1})
 		So(l.Acquire(epoch, req).Reason, ShouldEqual, ReasonOverload)
 	})
 }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -27,6 +27,9 @@
 	// workAhead estimates the total service time of the waiters served before req, plus
 	// one service time.
 	workAhead(now time.Time, req Request, times *serviceTimes) time.Duration
+	// position estimates the position at which req would be served if it were pushed now;
+	// 1 means next.
+	position(now time.Time, req Request, times *serviceTimes) float64
 }
 
 func newWaitQueue(o Order) waitQueue {
@@ -200,12 +203,12 @@
 // workAhead estimates the total service time of the waiters served before req, plus one
 // service time.
 func (q *fairQueue) workAhead(_ time.Time, req Request, times *serviceTimes) time.Duration {
-	return time.Duration(q.queuePosition(req) * float64(times.overallMedian()))
+	return time.Duration(q.position(time.Time{}, req, times) * float64(times.overallMedian()))
 }
 
-// queuePosition estimates the position at which req would be served if it were pushed now;
-// 1 means next.
-func (q *fairQueue) queuePosition(req Request) float64 {
+// position estimates the position at which req would be served if it were pushed now; 1
+// means next.
+func (q *fairQueue) position(_ time.Time, req Request, _ *serviceTimes) float64 {
 	total, weights := 0, weight(req.Priority)
 	position := 1.0
 	for _, f := range q.active {
--- a/core/admission/urgency.go
+++ b/core/admission/urgency.go
@@ -101,17 +101,28 @@
 }
 
 func (q *urgencyQueue) workAhead(now time.Time, req Request, times *serviceTimes) time.Duration {
-	arrival := waiterFor(now, req, times)
 	work := time.Duration(times.cost(req.Route))
-	for _, w := range q.waiters {
-		if compareUrgency(arrival, w) < 0 {
-			break
-		}
+	for _, w := range q.ahead(now, req, times) {
 		work += time.Duration(times.cost(w.req.Route))
 	}
 	return work
 }
 
+func (q *urgencyQueue) position(now time.Time, req Request, times *serviceTimes) float64 {
+	return float64(len(q.ahead(now, req, times)) + 1)
+}
+
+// ahead returns the waiters that are served before req.
+func (q *urgencyQueue) ahead(now time.Time, req Request, times *serviceTimes) []*Waiter {
+	arrival := waiterFor(now, req, times)
+	for i, w := range q.waiters {
+		if compareUrgency(arrival, w) < 0 {
+			return q.waiters[:i]
+		}
+	}
+	return q.waiters
+}
+
 // waiterFor returns a waiter for req whose queueDeadline and done are not set. Without an
 // objective, the latest start is computed from the deadline.
 func waiterFor(now time.Time, req Request, times *serviceTimes) *Waiter {
--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -326,8 +326,8 @@
 // times are equal or missing, a server that is not leaving takes precedence over one that
 // is.
 func (e ServerEntry) startedAfter(old ServerEntry) bool {
-	if e.StartedAtMs != old.StartedAtMs {
-		return e.StartedAtMs > old.StartedAtMs
+	if e.VM.StartedAtMs != old.VM.StartedAtMs {
+		return e.VM.StartedAtMs > old.VM.StartedAtMs
 	}
 	if e.VM.Leaving != old.VM.Leaving {
 		return old.VM.Leaving
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -35,7 +35,7 @@
 }
 
 func encode(vm string, born int64, leaving bool) []byte {
-	data, err := json.Marshal(ServerEntry{VM: vmlist.VM{ID: vm, Leaving: leaving}, StartedAtMs: born})
+	data, err := json.Marshal(ServerEntry{VM: vmlist.VM{ID: vm, Leaving: leaving, StartedAtMs: born}})
 	if err != nil {
 		panic(err)
 	}
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -74,9 +74,6 @@
 // ServerEntry is the decoded entry of a backend server.
 type ServerEntry struct {
 	VM vmlist.VM
-	// StartedAtMs is the start time of the server in Unix milliseconds; 0 if the entry has
-	// none.
-	StartedAtMs int64
 }
 
 // Decoder interprets items. Release is called by one goroutine at a time, and so are Kind and
--- a/core/vmlist/vmlist.go
+++ b/core/vmlist/vmlist.go
@@ -31,6 +31,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Instance identifies the run of the backend server; "" if unknown.
 	Instance string `json:"instance,omitempty"`
+	// StartedAtMs is the start time of the backend server in Unix milliseconds; 0 if unknown.
+	StartedAtMs int64 `json:"started_at_ms,omitempty"`
 	// Server is the address of the backend server: "ip:port"; the zero value if unknown.
 	Server netip.AddrPort `json:"server,omitzero"`
 	// Slots is the number of requests that the server processes concurrently; 0 if the
@@ -38,6 +40,21 @@
 	Slots int `json:"slots,omitempty"`
 }
 
+// Run identifies one run of a backend server. A server may be started again under the same
+// instance name; it knows nothing of before then.
+type Run struct {
+	Instance    string
+	StartedAtMs int64
+}
+
+// Run returns the run of the backend server; the zero value if its instance is unknown.
+func (vm *VM) Run() Run {
+	if vm.Instance == "" {
+		return Run{}
+	}
+	return Run{Instance: vm.Instance, StartedAtMs: vm.StartedAtMs}
+}
+
 // List is the complete list at one revision of the platform's service. Revision comes
 // from the service's response and is not part of the encoded value.
 type List struct {
--- a/node/proxy/egress/announce.go
+++ b/node/proxy/egress/announce.go
@@ -4,36 +4,84 @@
 	"math"
 	"strconv"
 
+	"auburnladder.example/core/vmlist"
 	"github.com/valyala/fasthttp"
 )
 
-// noRateLimit is the rate of a server that announces no limit.
-const noRateLimit = 0
+// milli converts a rate to thousandths, for an integer gauge.
+const milli = 1000
 
-// recordAnnouncements takes over what the server says about itself in a response to this
-// request.
+// announcements is what one run of the backend server says about itself in its responses. It
+// is immutable.
+type announcements struct {
+	run  vmlist.Run
+	rate announcedRate
+}
+
+// announcedRate is the rate limit that a server announced, in requests per second. Without a
+// limit, limited is false.
+type announcedRate struct {
+	perSecond float64
+	limited   bool
+}
+
+// recordAnnouncements applies what the server says about itself in a response to this call.
 func (x *exchange) recordAnnouncements(resp *fasthttp.Response) {
 	name := x.egress.Headers.RateLimit
 	if name == "" {
 		return
 	}
-	rate := float64(noRateLimit)
-	if value := resp.Header.Peek(name); len(value) > 0 {
-		var err error
-		if rate, err = strconv.ParseFloat(string(value), 64); err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
-			x.egress.Log.Warn().Str("event", "server-limit-invalid").Bytes("value", value).Msg("rate limit of the backend server ignored: expected a decimal number of requests per second")
-			return
-		}
+	rate, valid := parseRate(resp.Header.Peek(name))
+	if !valid {
+		x.egress.Log.Warn().Str("event", "server-limit-invalid").Bytes("value", resp.Header.Peek(name)).
+			Msg("rate limit of the backend server ignored: expected a decimal number of requests per second")
+		return
+	}
+	x.egress.applyAnnouncedRate(x.target, rate)
+}
+
+// parseRate decodes the value of a rate limit header. An empty value means that there is no
+// limit.
+func parseRate(value []byte) (rate announcedRate, valid bool) {
+	if len(value) == 0 {
+		return announcedRate{}, true
+	}
+	perSecond, err := strconv.ParseFloat(string(value), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return announcedRate{}, false
+	}
+	return announcedRate{perSecond: perSecond, limited: true}, true
+}
+
+// applyAnnouncedRate limits the requests to the server to the rate that a run of it announced.
+// It ignores a response of an earlier run.
+func (e *Egress) applyAnnouncedRate(run vmlist.Run, rate announcedRate) {
+	if a := e.announced.Load(); a.run != run || a.rate == rate {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.announced.Load().run == run {
+		e.setAnnounced(announcements{run: run, rate: rate})
+	}
+}
+
+// startRun forgets what an earlier run of the server announced. It requires mu.
+func (e *Egress) startRun(run vmlist.Run) {
+	if run != e.announced.Load().run {
+		e.setAnnounced(announcements{run: run})
 	}
-	x.egress.setAnnouncedRate(rate)
 }
 
-// setAnnouncedRate records the rate limit that the server announced last, and logs a change.
-func (e *Egress) setAnnouncedRate(rate float64) {
-	old := math.Float64frombits(e.announcedRate.Swap(math.Float64bits(rate)))
-	if old == rate {
+// setAnnounced replaces the announcements, and applies and logs a changed rate limit. It
+// requires mu.
+func (e *Egress) setAnnounced(a announcements) {
+	old := e.announced.Swap(&a)
+	if a.rate == old.rate {
 		return
 	}
-	egressStats.Set("announced_rate_milli", gauge(rate*1000))
-	e.Log.Info().Str("event", "server-limit").Float64("per_second", rate).Float64("before", old).Msg("backend server announced another rate limit; 0 is none")
+	e.limiter.SetRateLimit(e.Now(), a.rate.perSecond, a.rate.limited)
+	egressStats.Set("announced_rate_milli", gauge(a.rate.perSecond*milli))
+	e.Log.Info().Str("event", "server-limit").Bool("limited", a.rate.limited).Float64("per_second", a.rate.perSecond).
+		Str("instance", a.run.Instance).Msg("rate limit of the backend server changed")
 }
--- a/node/proxy/egress/check.go
+++ b/node/proxy/egress/check.go
@@ -40,8 +40,8 @@
 	return err
 }
 
-// checkByVMList checks the call against the VM list and sets x.instance to the server
-// instance that the list names now. A server refuses requests that are addressed to
+// checkByVMList checks the call against the VM list and sets x.target to the run of the server
+// that the list names now. A server refuses requests that are addressed to
 // another instance.
 func (e *Egress) checkByVMList(x *exchange) error {
 	vm := e.localVM()
@@ -58,7 +58,7 @@
 	if err := validateRequest(x.call); err != nil {
 		return newRefusal(peerpb.Refusal_REFUSAL_BAD_REQUEST, "%v", err)
 	}
-	x.instance = vm.Instance
+	x.target = vm.Run()
 	return nil
 }
 
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -64,13 +64,13 @@
 	// active counts admitted calls whose reply has not been sent completely to the peer.
 	active atomic.Int64
 
-	// announcedRate is the rate limit, in requests per second, that the server announced in its
-	// latest response, as math.Float64bits; 0 for none.
-	announcedRate atomic.Uint64
-
-	// mu guards appliedServer, the server limits applied last.
-	mu            sync.Mutex
+	// mu guards the fields below.
+	mu sync.Mutex
+	// appliedServer is the server limits applied last.
 	appliedServer mesh.Server
+	// announced is what the current run of the server said in its latest response. It is
+	// replaced only while mu is held.
+	announced atomic.Pointer[announcements]
 }
 
 // New returns an egress for the backend server at addr. Run must be running while
@@ -93,6 +93,7 @@
 		responseSizes: routeResponseSizes{means: make(map[string]float64)},
 		pauseDetector: admission.NewPauseDetector(cfg.Pause, boot()),
 	}
+	e.announced.Store(&announcements{})
 	e.pool.onRestart = func() { e.limiter.Restart(now()) }
 	return e
 }
@@ -129,7 +130,7 @@
 	return &peerpb.Load{
 		InFlight: uint32(l.InFlight),
 		Queued:   uint32(l.Queued + e.linkWindow.Sending()),
-		Limit:    uint32(l.Limit),
+		Limit:    uint32(l.Sustained),
 		Leaving:  e.State.Leaving(),
 	}
 }
@@ -159,6 +160,15 @@
 	return e.State.Fleet().VM(e.State.Identity.VM)
 }
 
+// localRun returns the run of the local backend server in the VM list; the zero value if it
+// is not known.
+func (e *Egress) localRun() vmlist.Run {
+	if vm := e.localVM(); vm != nil {
+		return vm.Run()
+	}
+	return vmlist.Run{}
+}
+
 // serverLimits returns the limits of the local backend server, or false if they are not
 // known.
 func (e *Egress) serverLimits() (mesh.Server, bool) {
@@ -207,8 +217,10 @@
 	if !known {
 		return
 	}
+	run := e.localRun()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.startRun(run)
 	if server == e.appliedServer {
 		return
 	}
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -11,6 +11,7 @@
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/metrics"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/tracing"
@@ -61,8 +62,8 @@
 	transitDelay time.Duration
 	// priority weights the caller's share of the queue under admission.OrderFair.
 	priority mesh.Priority
-	// instance is the server instance that the call is addressed to, "" if unknown.
-	instance string
+	// target is the run of the server that the call is addressed to, the zero value if unknown.
+	target vmlist.Run
 	// replySent is set when a Reply is sent, even if sending it fails.
 	replySent bool
 	// body is the request body that follows the call on the stream, nil before it is
@@ -134,7 +135,7 @@
 	}
 	load := e.limiter.Load()
 	entry.Err(err).Str("request", x.requestID()).Str("peer", x.peer.VM).Str("route", x.call.GetRoute()).
-		Str("instance", x.instance).Stringer("verdict", v).Uint32("rank", x.call.GetRank()).
+		Str("instance", x.target.Instance).Stringer("verdict", v).Uint32("rank", x.call.GetRank()).
 		Int("in_flight", load.InFlight).Int("waiting", load.Queued).Int("limit", load.Limit).
 		Dur("left_ms", x.deadline.Sub(e.Now())).Dur("late_ms", x.transitDelay).
 		Uint64("vm_list", e.State.Fleet().Revision).Dur("vm_list_age_ms", e.State.Fleet().Age(e.Now())).
@@ -188,16 +189,26 @@
 // awaitSlot waits for the limiter's decision on a queued call. It abandons the call when
 // its maximum wait is over or ctx ends.
 func (x *exchange) awaitSlot(ctx context.Context, w *admission.Waiter) admission.Decision {
-	e := x.egress
-	timer := time.NewTimer(w.QueueDeadline().Sub(e.Now()))
-	defer timer.Stop()
-	select {
-	case <-w.Done():
-		return w.Decision()
-	case <-timer.C:
-	case <-ctx.Done():
+	limiter, now := x.egress.limiter, x.egress.Now()
+	for now.Before(w.QueueDeadline()) {
+		until := w.QueueDeadline()
+		if at, limited := limiter.RefreshAt(now); limited && at.Before(until) {
+			until = at
+		}
+		timer := time.NewTimer(until.Sub(now))
+		select {
+		case <-w.Done():
+			timer.Stop()
+			return w.Decision()
+		case <-ctx.Done():
+			timer.Stop()
+			return limiter.Abandon(x.egress.Now(), w)
+		case <-timer.C:
+		}
+		now = x.egress.Now()
+		limiter.Refresh(now)
 	}
-	return e.limiter.Abandon(e.Now(), w)
+	return limiter.Abandon(now, w)
 }
 
 // releaseSlot releases the limiter's slot and records the time at the server. Only the
--- a/node/proxy/egress/server_request.go
+++ b/node/proxy/egress/server_request.go
@@ -50,8 +50,8 @@
 		return
 	}
 	req.Header.Set(names.Caller, x.call.GetCaller())
-	if x.instance != "" {
-		req.Header.Set(names.Target, x.instance)
+	if x.target.Instance != "" {
+		req.Header.Set(names.Target, x.target.Instance)
 	}
 	remaining := x.deadline.Sub(x.egress.Now())
 	req.Header.Set(names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
