Send no requests to a backend server after it announced that it leaves

What could happen: a server says in its answers that it leaves (Server-Leaving). Nodes went by the list only, which can be stale: the store is away, or the node is cut from it. A node that passed such an answer on would have gone on sending, for as long as its list said ready (DRAIN, in touch or not).

Same cause as the ignored rate limit: what servers say in answers was passed on and not used.

Change: a run of a server (instance and start time) that announced it is marked in the node's state for good; each VM list is read with these marks, so egress, ingress and the choice of servers follow at once, and no later list, membership view or lost entry takes it back. The server's node refuses calls as not run and names the run in each reply; the caller's node keeps it too, for the server's node may restart and forget. A new run under the same name is served.

--- a/core/statusapi/journal.go
+++ b/core/statusapi/journal.go
@@ -53,6 +53,8 @@
 	JournalReleaseOldBase JournalKind = "release-old-base"
 	JournalVMListApplied  JournalKind = "vm-list-applied"
 	JournalServerEjected  JournalKind = "server-ejected"
+	// JournalServerLeaving means that a backend server announced in a response that it leaves.
+	JournalServerLeaving JournalKind = "server-leaving"
 	JournalDrainStep      JournalKind = "drain-step"
 	// JournalPaused means that the process was paused.
 	JournalPaused JournalKind = "paused"
--- a/core/wirenames/headers.go
+++ b/core/wirenames/headers.go
@@ -23,4 +23,7 @@
 	// RateLimit in a response is the number of requests per second, a decimal number, that the
 	// server accepts from all nodes together. It holds until a response does not have it.
 	RateLimit string
+	// Leaving with the value 1 in a response means that the server accepts no more requests
+	// after its drain time and then ends.
+	Leaving string
 }
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -186,6 +186,17 @@
 	c.State.ReplaceView(view)
 }
 
+// RecordLeavingServer excludes a run of a backend server from new requests for good, because the
+// server announced in a response that it leaves.
+func (c *Commander) RecordLeavingServer(run vmlist.Run) {
+	if !c.State.AddLeavingServer(run) {
+		return
+	}
+	c.Log.Info().Str("event", "server-leaving").Str("instance", run.Instance).Int64("started_at_ms", run.StartedAtMs).
+		Msg("backend server announced that it leaves; it gets no new requests")
+	c.record(statusapi.JournalEntry{Kind: statusapi.JournalServerLeaving, Cause: "instance " + run.Instance + " announced it in a response"})
+}
+
 // SetLeaving takes the node out of service or returns it to service, announces the change to
 // the other members, and journals it with cause.
 func (c *Commander) SetLeaving(leaving bool, cause string) {
--- a/node/proxy/egress/announce.go
+++ b/node/proxy/egress/announce.go
@@ -25,12 +25,22 @@
 	limited   bool
 }
 
+// leavingValue is the value of the header with which a server announces that it leaves.
+const leavingValue = "1"
+
 // recordAnnouncements applies what the server says about itself in a response to this call.
 func (x *exchange) recordAnnouncements(resp *fasthttp.Response) {
-	name := x.egress.Headers.RateLimit
-	if name == "" {
-		return
+	names := &x.egress.Headers
+	if names.RateLimit != "" {
+		x.recordRate(resp, names.RateLimit)
+	}
+	if names.Leaving != "" && string(resp.Header.Peek(names.Leaving)) == leavingValue {
+		x.egress.Announcements.RecordLeavingServer(x.target)
 	}
+}
+
+// recordRate applies the rate limit in the header with the given name.
+func (x *exchange) recordRate(resp *fasthttp.Response, name string) {
 	rate, valid := parseRate(resp.Header.Peek(name))
 	if !valid {
 		x.egress.Log.Warn().Str("event", "server-limit-invalid").Bytes("value", resp.Header.Peek(name)).
--- a/node/proxy/egress/announce_test.go
+++ b/node/proxy/egress/announce_test.go
@@ -8,6 +8,10 @@
 	"testing"
 	"time"
 
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/command"
+	"auburnladder.example/wire/peerpb"
+	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -35,3 +39,46 @@
 		So(float64(r.server.requests.Load()), ShouldBeLessThanOrEqualTo, allowed)
 	})
 }
+
+// commandFor returns the commands that change the state of the rig's node.
+func commandFor(r *egressRig) *command.Commander {
+	return &command.Commander{State: r.egress.State, Log: zerolog.Nop(), Now: time.Now}
+}
+
+// Guards against requests to a backend server that announced that it leaves, while the VM list
+// does not say so or says otherwise.
+func TestServerGetsRequestsAfterItAnnouncedItsLeaving(t *testing.T) {
+	Convey("Given a server that announces in its response that it leaves", t, func() {
+		list := func(revision uint64, run vmlist.Run) *vmlist.List {
+			vm := vmlist.VM{ID: "tickets-1", Service: "tickets", Instance: run.Instance, StartedAtMs: run.StartedAtMs, Slots: 2}
+			return &vmlist.List{Revision: revision, VMs: []vmlist.VM{vm}}
+		}
+		first := vmlist.Run{Instance: "run-7", StartedAtMs: 1000}
+		r := newVMListRig(newRawServer(announcing("X-Leaving: 1\r\n")), func(vm *vmlist.VM) { vm.StartedAtMs = first.StartedAtMs })
+		defer r.close()
+		r.egress.Announcements = commandFor(r)
+		a := r.do(r.callWithID("a"))
+		So(a.GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
+		refused := func() {
+			a := r.do(r.callWithID("b"))
+			So(a.GetRefusal(), ShouldEqual, peerpb.Refusal_REFUSAL_LEAVING)
+			So(a.GetLoad().GetLeavingServer().GetInstance(), ShouldEqual, first.Instance)
+			So(r.server.requests.Load(), ShouldEqual, 1)
+		}
+		Convey("It gets no more, and the reply tells the caller's node", func() {
+			So(a.GetLoad().GetLeavingServer().GetInstance(), ShouldEqual, first.Instance)
+			refused()
+		})
+		Convey("Also not when a later list still has it, or has it again", func() {
+			r.egress.State.ReplaceVMs(list(3, first))
+			refused()
+			r.egress.State.ReplaceVMs(&vmlist.List{Revision: 4})
+			r.egress.State.ReplaceVMs(list(5, first))
+			refused()
+		})
+		Convey("The next run of the server gets requests, also under the same instance", func() {
+			r.egress.State.ReplaceVMs(list(3, vmlist.Run{Instance: first.Instance, StartedAtMs: 2000}))
+			So(r.do(r.callWithID("c")).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
+		})
+	})
+}
--- a/node/proxy/egress/check.go
+++ b/node/proxy/egress/check.go
@@ -51,7 +51,7 @@
 	case vm == nil:
 		return newRefusal(peerpb.Refusal_REFUSAL_LEAVING, "the VM list has no entry for this node's VM")
 	case vm.Leaving:
-		return newRefusal(peerpb.Refusal_REFUSAL_LEAVING, "the VM list marks this VM as leaving")
+		return newRefusal(peerpb.Refusal_REFUSAL_LEAVING, "the VM list marks this VM as leaving, or its server announced that it leaves")
 	case vm.Service != x.call.GetService():
 		return newRefusal(peerpb.Refusal_REFUSAL_WRONG_SERVICE, "the local backend server runs service %q, not the called one", vm.Service)
 	}
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -18,6 +18,7 @@
 	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/decisions"
 	"auburnladder.example/node/peers"
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/node/transfer"
@@ -37,6 +38,9 @@
 	Decisions *decisions.Log
 	// Tracer starts the spans of a call at this node.
 	Tracer *tracing.Tracer
+	// Announcements receives that the backend server announced that it leaves; nil if the
+	// headers name no such announcement.
+	Announcements proxy.AnnouncementRecorder
 	// Now returns the current time. Tests replace it.
 	Now func() time.Time
 	// Headers holds the names of the headers that callers and backend servers use.
@@ -128,6 +132,7 @@
 func (e *Egress) Load() *peerpb.Load {
 	l := e.limiter.Load()
 	return &peerpb.Load{
+		LeavingServer: e.leavingServer(),
 		InFlight: uint32(l.InFlight),
 		Queued:   uint32(l.Queued + e.linkWindow.Sending()),
 		Limit:    uint32(l.Sustained),
@@ -135,6 +140,16 @@
 	}
 }
 
+// leavingServer returns the run of the local backend server if it announced that it leaves, or
+// nil.
+func (e *Egress) leavingServer() *peerpb.ServerRun {
+	run := e.localRun()
+	if !e.State.Fleet().AnnouncedLeaving(run) {
+		return nil
+	}
+	return &peerpb.ServerRun{Instance: run.Instance, StartedAtMs: run.StartedAtMs}
+}
+
 // DependencyFailed reports that a call from the backend server through this node to
 // another service failed. It may be called from any goroutine.
 func (e *Egress) DependencyFailed() {
--- a/node/proxy/egress/vmlist_test.go
+++ b/node/proxy/egress/vmlist_test.go
@@ -17,7 +17,7 @@
 
 var testHeaders = wirenames.Headers{
 	RequestID: "X-Id", Deadline: "X-Left", Seal: "X-Seal", Target: "X-Target",
-	NotExecuted: "X-Not-Run", Caller: "X-Caller", RateLimit: "X-Limit",
+	NotExecuted: "X-Not-Run", Caller: "X-Caller", RateLimit: "X-Limit", Leaving: "X-Leaving",
 }
 
 // newVMListRig returns a rig whose egress uses the VM list. change may modify the VM's
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -10,6 +10,7 @@
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/steady"
 	"auburnladder.example/core/verdict"
+	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
@@ -183,6 +184,7 @@
 // classifyReply sets err and outcome from a reply whose ID matches the request.
 func (a *attempt) classifyReply() {
 	a.outcome.Load = routingLoad(a.reply.GetLoad())
+	a.recordAnnouncements(a.reply.GetLoad().GetLeavingServer())
 	switch v := verdictFromWire(a.reply.GetVerdict()); v {
 	case verdict.Ran:
 		if int64(len(a.reply.GetBody())) > a.call.match.Resource.MaxResponseBytes {
@@ -199,6 +201,14 @@
 	}
 }
 
+// recordAnnouncements records that the server announced that it leaves. The server's node may
+// forget it in a restart; this node passes the response on and must not.
+func (a *attempt) recordAnnouncements(leaving *peerpb.ServerRun) {
+	if recorder := a.call.ingress.Announcements; recorder != nil && leaving != nil {
+		recorder.RecordLeavingServer(vmlist.Run{Instance: leaving.GetInstance(), StartedAtMs: leaving.GetStartedAtMs()})
+	}
+}
+
 // statusKind returns the outcome kind of a response with an HTTP status.
 func statusKind(status int) routing.OutcomeKind {
 	switch {
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"auburnladder.example/core/wirenames"
 	"auburnladder.example/node/decisions"
 	nodemetrics "auburnladder.example/node/metrics"
+	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/session"
@@ -45,6 +46,9 @@
 	// Paused reports whether a recent process pause was long enough for the configuration
 	// to be stale; nil means never.
 	Paused func(now time.Time) bool
+	// Announcements receives what backend servers announced to their nodes; nil if the
+	// headers name no announcements.
+	Announcements proxy.AnnouncementRecorder
 	// OnServerError is called after each response with a status of 500 or above; may be nil.
 	OnServerError func()
 	Tracer        *tracing.Tracer
--- a/node/state/fleet.go
+++ b/node/state/fleet.go
@@ -16,11 +16,12 @@
 	// since is when this list or its view was applied.
 	since time.Time
 	// VMs is a copy of the published list. Leaving is also set for VMs that the membership
-	// view reports as leaving.
+	// view reports as leaving, and whose backend server announced that it leaves.
 	VMs []vmlist.VM
 	// list is the list as it was published.
 	list      *vmlist.List
 	view      *membership.View
+	leaving   *leavingRuns
 	byID      map[string]*vmlist.VM
 	byService map[string]*serviceVMs
 }
@@ -44,13 +45,14 @@
 // Age returns the time since the list or its view last changed.
 func (f *Fleet) Age(now time.Time) time.Duration { return now.Sub(f.since) }
 
-func newFleet(l *vmlist.List, view *membership.View) *Fleet {
+func newFleet(l *vmlist.List, view *membership.View, leaving *leavingRuns) *Fleet {
 	f := &Fleet{
 		Revision:  l.Revision,
 		since:     time.Now(),
 		VMs:       make([]vmlist.VM, len(l.VMs)),
 		list:      l,
 		view:      view,
+		leaving:   leaving,
 		byID:      make(map[string]*vmlist.VM, len(l.VMs)),
 		byService: make(map[string]*serviceVMs),
 	}
@@ -61,11 +63,12 @@
 	return f
 }
 
-// index adds vm to the indexes and sets its Leaving field if the view reports it as leaving.
+// index adds vm to the indexes and sets its Leaving field if the view reports it as leaving or
+// its backend server announced that it leaves.
 func (f *Fleet) index(vm *vmlist.VM) {
 	f.byID[vm.ID] = vm
 	health := f.Health(vm.ID)
-	if health == membership.Leaving {
+	if health == membership.Leaving || f.AnnouncedLeaving(vm.Run()) {
 		vm.Leaving = true
 	}
 	vms := f.byService[vm.Service]
@@ -84,6 +87,11 @@
 	return f.byID[id]
 }
 
+// AnnouncedLeaving reports whether a run of a backend server announced that it leaves.
+func (f *Fleet) AnnouncedLeaving(run vmlist.Run) bool {
+	return f.leaving.contains(run)
+}
+
 // Published returns the VM with the given ID as the platform lists it: its Leaving field
 // doesn't depend on the membership view. It reports false if the VM is not listed.
 func (f *Fleet) Published(id string) (vmlist.VM, bool) {
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -41,7 +41,7 @@
 // New returns a state that holds no release and an empty VM list.
 func New(id Identity) *State {
 	s := &State{Identity: id}
-	s.fleet.Store(newFleet(&vmlist.List{}, membership.EmptyView()))
+	s.fleet.Store(newFleet(&vmlist.List{}, membership.EmptyView(), &leavingRuns{}))
 	return s
 }
 
@@ -97,7 +97,7 @@
 		if list.Revision <= old.Revision {
 			return false
 		}
-		if s.fleet.CompareAndSwap(old, newFleet(list, old.view)) {
+		if s.fleet.CompareAndSwap(old, newFleet(list, old.view, old.leaving)) {
 			return true
 		}
 	}
@@ -111,7 +111,22 @@
 		if view.Generation <= old.view.Generation {
 			return false
 		}
-		if s.fleet.CompareAndSwap(old, newFleet(old.list, view)) {
+		if s.fleet.CompareAndSwap(old, newFleet(old.list, view, old.leaving)) {
+			return true
+		}
+	}
+}
+
+// AddLeavingServer records that a run of a backend server announced that it leaves, and reports
+// whether that is new. It holds for good, whatever later lists say of the run. It is called by
+// package command.
+func (s *State) AddLeavingServer(run vmlist.Run) bool {
+	for {
+		old := s.fleet.Load()
+		if run.Instance == "" || old.AnnouncedLeaving(run) {
+			return false
+		}
+		if s.fleet.CompareAndSwap(old, newFleet(old.list, old.view, old.leaving.with(run))) {
 			return true
 		}
 	}
--- a/node/store.go
+++ b/node/store.go
@@ -35,6 +35,7 @@
 func (n *Node) configureForStore() {
 	n.egress.AdmitByVMList = true
 	n.egress.Headers = n.store.Headers
+	n.egress.Announcements = n.command
 	n.router.Retry.MaxTransparentRetries = maxTransparentRetries
 	n.router.SetFleetBudget(fleetBudget(n.startSettings.Retry))
 	n.stopper = newStopper(n)
