Log the era and revision of each full read of the store

Nothing decides by it yet. The next write gets revision 19, which the nodes hold already, so they never see it.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -50,6 +50,9 @@
 	More bool
 	// Revision is the store's revision when the page was read.
 	Revision uint64
+	// Era counts how often the store came back from an older copy of itself. Revisions of
+	// different eras have nothing in common.
+	Era uint64
 }
 
 // Changes holds the changes after a revision, in order of revision.
@@ -57,6 +60,8 @@
 	Changes []Change
 	// Revision is the revision after which the next watch continues.
 	Revision uint64
+	// Era is the era of the store, as in Page.
+	Era uint64
 }
 
 // Kind is the type of an item.
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -67,7 +67,7 @@
 // changes made while the pages were read are not missed; some are received twice.
 func (f *Follower) readAll() error {
 	var items []source.Item
-	var revision uint64
+	var revision, era uint64
 	began := f.boot()
 	for after := ""; ; {
 		page, err := f.store.List(after)
@@ -75,7 +75,7 @@
 			return err
 		}
 		if after == "" {
-			revision = page.Revision
+			revision, era = page.Revision, page.Era
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -85,10 +85,13 @@
 	}
 	f.recordSuccess()
 	f.mu.Lock()
+	held := f.replica.Revision()
 	f.replica.Replace(time.Now(), items, revision)
 	f.machine.StoreRead(began)
 	f.renewLocked()
 	f.mu.Unlock()
+	f.log.Info().Str("event", "store-read").Uint64("era", era).Uint64("revision", revision).Uint64("held_revision", held).
+		Int("items", len(items)).Msg("all items of the store were read")
 	f.applyReplica()
 	return nil
 }
