--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -36,6 +36,7 @@
 	items       map[string]source.Item
 	events      []source.Change
 	revision    uint64
+	era         uint64
 	down        bool
 	historyLost bool
 	lists       atomic.Int64
@@ -71,7 +72,7 @@
 	if s.down {
 		return source.Page{}, errDown
 	}
-	p := source.Page{Revision: s.revision}
+	p := source.Page{Revision: s.revision, Era: s.era}
 	for _, i := range s.items {
 		p.Items = append(p.Items, i)
 	}
@@ -83,13 +84,14 @@
 	s.watches.Add(1)
 	for timedOut := false; ; {
 		s.mu.Lock()
-		c := source.Changes{Revision: s.revision}
+		c := source.Changes{Revision: s.revision, Era: s.era}
 		for _, e := range s.events {
 			if e.Revision > after {
 				c.Changes = append(c.Changes, e)
 			}
 		}
 		down, lost, changed := s.down, s.historyLost, s.changed
+		ahead := after > s.revision
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -97,6 +99,8 @@
 		case lost:
 			s.change(func() { s.historyLost = false })
 			return source.Changes{}, source.ErrHistoryLost
+		case ahead:
+			return source.Changes{}, source.ErrHistoryLost
 		case timedOut || len(c.Changes) > 0:
 			return c, nil
 		}
