--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -133,10 +133,10 @@
 	l := e.limiter.Load()
 	return &peerpb.Load{
 		LeavingServer: e.leavingServer(),
-		InFlight: uint32(l.InFlight),
-		Queued:   uint32(l.Queued + e.linkWindow.Sending()),
-		Limit:    uint32(l.Sustained),
-		Leaving:  e.State.Leaving(),
+		InFlight:      uint32(l.InFlight),
+		Queued:        uint32(l.Queued + e.linkWindow.Sending()),
+		Limit:         uint32(l.Sustained),
+		Leaving:       e.State.Leaving(),
 	}
 }
 
