--- a/core/statusapi/journal.go
+++ b/core/statusapi/journal.go
@@ -55,7 +55,7 @@
 	JournalServerEjected  JournalKind = "server-ejected"
 	// JournalServerLeaving means that a backend server announced in a response that it leaves.
 	JournalServerLeaving JournalKind = "server-leaving"
-	JournalDrainStep      JournalKind = "drain-step"
+	JournalDrainStep     JournalKind = "drain-step"
 	// JournalPaused means that the process was paused.
 	JournalPaused JournalKind = "paused"
 	// JournalReaderStarted and JournalReaderStopped mean that the node became a reader of
