Follow a store that came back from an older copy

Cause: a node orders what it holds by the store's revision alone. A store that comes back from a copy gives its revisions out again for other content: watches end with 410, the full read that follows is dropped because its revision is lower, and the next write has a revision that the node holds already. Evidence: all full reads after the return said era 2, revision 18, held 19; version 13 was written at revision 19. Ruled out: refused releases (no such line) and wrong content between nodes (no node followed at all).

Change: a position in the store's history is (era, revision), at the client, in the replica, in copies, changes and patches between nodes. A later era replaces the copy as a whole; a watch whose answer is of another era leads to a full read; pages of two eras are not mixed. Items of different eras are compared by content, since an older copy has older content under a later era: the configuration by its sequence number, a server's entry by its start and the number of its report. So no configuration goes back, and a server that was leaving stays so. An entry that the store had removed names no server for 6 s, by when the store drops a silent server's entry, unless it is written again. Entries that the copy lacks stay for the grace period that follows an outage.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -22,25 +22,32 @@
 	// written again. Until then its server stays in the list. A longer time delays the
 	// removal of servers that did leave. Default: 1700 ms.
 	ReturnGrace time.Duration
+	// WithholdFor is how long an entry that was removed, and is there again because the store
+	// came back from an older copy, names no server unless it is written again. It must be longer
+	// than the store keeps the entry of a server that is silent. A longer time delays the use of a
+	// server that was only silent. Default: 6 s.
+	WithholdFor time.Duration
 }
 
 // DefaultConfig returns the default configuration. Its ReturnGrace is slightly below two
 // seconds, which is both the time that live servers may take to be listed again and the
 // limit within which a server that left must stop receiving work.
 func DefaultConfig() Config {
-	return Config{OutageAfter: time.Second, ReturnGrace: 1700 * time.Millisecond}
+	return Config{OutageAfter: time.Second, ReturnGrace: 1700 * time.Millisecond, WithholdFor: 6 * time.Second}
 }
 
 // Replica is a node's copy of the store. It is not safe for concurrent use; package
 // node/follow guards it with a mutex.
 type Replica struct {
-	cfg      Config
-	decoder  Decoder
-	revision uint64
-	items    map[string]Item
-	// release is the release item with the highest revision; its key is empty if there is none.
+	cfg     Config
+	decoder Decoder
+	at      Position
+	items   map[string]Item
+	// release is the newest release item; its key is empty if there is none.
 	release Item
 	servers map[string]ServerEntry
+	// restored holds what must not come back with an older copy of the store.
+	restored restoredEntries
 	// retained holds entries that were removed during the grace period after an outage, by
 	// key. Each stays until its time.
 	retained map[string]retainedEntry
@@ -51,8 +58,8 @@
 	// listChanges is the number of changes of the VM list.
 	listChanges  uint64
 	decodeErrors []error
-	// removals are the latest removals of keys, in order of revision. Those at or before
-	// removalsFrom are not known.
+	// removals are the latest removals of keys in the present era, in order of revision. Those
+	// at or before removalsFrom are not known.
 	removals     []removal
 	removalsFrom uint64
 }
@@ -82,12 +89,13 @@
 		items:    make(map[string]Item),
 		servers:  make(map[string]ServerEntry),
 		retained: make(map[string]retainedEntry),
+		restored: newRestoredEntries(),
 	}
 }
 
-// Revision returns the store revision up to which the replica includes all changes; 0
-// before the first read.
-func (r *Replica) Revision() uint64 { return r.revision }
+// Position returns the point in the store's history up to which the replica includes all
+// changes; the zero value before the first read.
+func (r *Replica) Position() Position { return r.at }
 
 // Items returns all items, ordered by key.
 func (r *Replica) Items() []Item {
@@ -99,7 +107,7 @@
 	return all
 }
 
-// Release returns the release item with the highest revision, or false if there is none.
+// Release returns the newest release item, or false if there is none.
 func (r *Replica) Release() (Item, bool) {
 	return r.release, r.release.Key != ""
 }
@@ -108,7 +116,7 @@
 func (r *Replica) findRelease() {
 	r.release = Item{}
 	for key, item := range r.items {
-		if r.decoder.Kind(key) == Release && item.Revision >= r.release.Revision {
+		if r.decoder.Kind(key) == Release && item.Position().Compare(r.release.Position()) >= 0 {
 			r.release = item
 		}
 	}
@@ -157,42 +165,55 @@
 // entries that expired during the outage may be written again.
 func (r *Replica) InReturnGrace(now time.Time) bool { return now.Before(r.graceUntil) }
 
-// Replace replaces the items by those read at the given revision, and keeps items with a
-// higher revision. It returns false and changes nothing if the replica itself has a higher
-// revision.
-func (r *Replica) Replace(now time.Time, items []Item, revision uint64) bool {
-	if revision < r.revision {
+// Replace replaces the items by those that the store had at a position, and keeps items that are
+// newer. It returns false and changes nothing if the replica itself is at a later position.
+func (r *Replica) Replace(now time.Time, items []Item, at Position) bool {
+	if at.Compare(r.at) < 0 {
 		return false
 	}
+	newEra := at.Era > r.at.Era && r.at.Revision > 0
+	if newEra {
+		// What was written after the copy was taken is missing until it is written again.
+		r.ExtendGrace(now.Add(r.cfg.ReturnGrace))
+	}
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
 		r.put(item)
+		if newEra {
+			r.withholdIfRemoved(now, item)
+		}
 	}
 	for key, item := range r.items {
-		if !present[key] && item.Revision <= revision {
-			r.remove(now, key)
+		if !present[key] && item.Position().Compare(at) <= 0 && !r.outlivesEra(item, at.Era) {
+			r.remove(now, key, !newEra)
 		}
 	}
-	r.revision = revision
+	r.at = at
 	// An item may have been added and removed again since the last revision.
-	r.removals, r.removalsFrom = nil, revision
+	r.removals, r.removalsFrom = nil, at.Revision
 	return true
 }
 
-// Apply applies changes and advances the revision.
-func (r *Replica) Apply(now time.Time, c Changes) {
+// Apply applies changes and advances the position. It returns false and changes nothing if they
+// are of another era than the replica: then changes before them may be missing.
+func (r *Replica) Apply(now time.Time, c Changes) bool {
+	if c.Era != r.at.Era {
+		return false
+	}
 	for _, ch := range c.Changes {
 		if ch.Removed {
-			if r.items[ch.Key].Revision <= ch.Revision {
-				r.remove(now, ch.Key)
+			at := Position{Era: c.Era, Revision: ch.Revision}
+			if old := r.items[ch.Key]; old.Position().Compare(at) <= 0 {
+				r.remove(now, ch.Key, true)
 			}
 			r.recordRemoval(ch.Key, ch.Revision)
 			continue
 		}
 		r.put(ch.Item)
 	}
-	r.revision = max(r.revision, c.Revision)
+	r.at.Revision = max(r.at.Revision, c.Revision)
+	return true
 }
 
 // recordRemoval remembers a removal for Since.
@@ -204,44 +225,46 @@
 	}
 }
 
-// Knows reports whether Since returns all changes after a revision.
-func (r *Replica) Knows(after uint64) bool { return after > 0 && after >= r.removalsFrom }
+// Knows reports whether Since returns all changes after a position.
+func (r *Replica) Knows(after Position) bool {
+	return after.Revision > 0 && after.Era == r.at.Era && after.Revision >= r.removalsFrom
+}
 
-// Since returns the changes after a revision, which the replica must know, or all items for
-// the revision 0.
-func (r *Replica) Since(after uint64) []Change {
+// Since returns the changes after a position, which the replica must know, or all items for
+// the zero value.
+func (r *Replica) Since(after Position) []Change {
 	var changes []Change
 	for _, item := range r.Items() {
-		if item.Revision > after {
+		if after == (Position{}) || item.Position().Compare(after) > 0 {
 			changes = append(changes, Change{Item: item})
 		}
 	}
-	if after == 0 {
+	if after == (Position{}) {
 		return changes
 	}
 	for _, gone := range r.removals {
-		if _, present := r.items[gone.key]; !present && gone.revision > after {
-			changes = append(changes, Change{Item: Item{Key: gone.key, Revision: gone.revision}, Removed: true})
+		if _, present := r.items[gone.key]; !present && gone.revision > after.Revision {
+			changes = append(changes, Change{Item: Item{Key: gone.key, Revision: gone.revision, Era: r.at.Era}, Removed: true})
 		}
 	}
 	return changes
 }
 
-// Value returns the value of a key if its last change was at the given revision.
-func (r *Replica) Value(key string, revision uint64) ([]byte, bool) {
+// Value returns the value of a key if its last change was at the given position.
+func (r *Replica) Value(key string, at Position) ([]byte, bool) {
 	item, found := r.items[key]
-	return item.Value, found && item.Revision == revision
+	return item.Value, found && item.Position() == at
 }
 
-// put stores an item unless the replica has the same or a newer revision of it.
+// put stores an item unless the replica has the same or a newer one.
 func (r *Replica) put(item Item) {
 	old, found := r.items[item.Key]
-	if found && old.Revision >= item.Revision {
+	if found && !r.supersedes(item, old) {
 		return
 	}
 	r.items[item.Key] = item
 	kind := r.decoder.Kind(item.Key)
-	if kind == Release && item.Revision >= r.release.Revision {
+	if kind == Release && (item.Key == r.release.Key || item.Position().Compare(r.release.Position()) >= 0) {
 		r.release = item
 	}
 	if kind != Server {
@@ -249,9 +272,15 @@
 	}
 	r.listChanges++
 	delete(r.retained, item.Key)
-	if found && bytes.Equal(old.Value, item.Value) {
+	withheld := r.restored.release(item.Key)
+	if found && !withheld && bytes.Equal(old.Value, item.Value) {
 		return
 	}
+	r.decodeServer(item)
+}
+
+// decodeServer decodes the entry of a server and lists it, unless it cannot be decoded.
+func (r *Replica) decodeServer(item Item) {
 	entry, err := r.decoder.Server(item.Key, item.Value)
 	if err != nil {
 		r.decodeErrors = append(r.decodeErrors, fmt.Errorf("%s: %w", item.Key, err))
@@ -262,26 +291,35 @@
 }
 
 // remove removes an item. During the grace period after an outage it retains the server
-// entry.
-func (r *Replica) remove(now time.Time, key string) {
+// entry. left is set if the store removed it, and unset if an older copy of the store lacks it.
+func (r *Replica) remove(now time.Time, key string, left bool) {
 	delete(r.items, key)
 	if key == r.release.Key {
 		r.findRelease()
 	}
+	r.restored.release(key)
 	entry, listed := r.servers[key]
 	if !listed {
 		return
 	}
 	delete(r.servers, key)
 	r.listChanges++
+	if left {
+		r.restored.recordRemoval(key, entry)
+	}
 	if r.InReturnGrace(now) {
 		r.retained[key] = retainedEntry{entry: entry, until: r.graceUntil}
 	}
 }
 
-// Expire drops retained entries whose grace period has ended. It returns the time at which
-// the next one ends, or the zero time if none is left.
+// Expire drops retained entries whose grace period has ended, and lists withheld ones that are
+// still there. It returns the time at which the next grace period ends, or the zero time if none
+// is left.
 func (r *Replica) Expire(now time.Time) time.Time {
+	for _, key := range r.restored.expired(now) {
+		r.listChanges++
+		r.decodeServer(r.items[key])
+	}
 	var next time.Time
 	for key, k := range r.retained {
 		if !now.Before(k.until) {
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -28,6 +29,10 @@
 
 func (textDecoder) Release([]byte) (*mesh.Published, error) { return &mesh.Published{}, nil }
 
+func (textDecoder) ReleaseSequence(value []byte) (uint64, error) {
+	return strconv.ParseUint(string(value), 10, 64)
+}
+
 func (textDecoder) Server(_ string, value []byte) (ServerEntry, error) {
 	var e ServerEntry
 	err := json.Unmarshal(value, &e)
@@ -57,7 +62,7 @@
 // write them again.
 func TestRemovalAfterOutage(t *testing.T) {
 	fill := func(r *Replica) {
-		r.Replace(start, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 2}, {Key: "s2", Value: encode("b", 1, false), Revision: 3}}, 3)
+		r.Replace(start, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 2}, {Key: "s2", Value: encode("b", 1, false), Revision: 3}}, Position{Revision: 3})
 	}
 	removal := Changes{Changes: []Change{{Item: Item{Key: "s1", Revision: 4}, Removed: true}}, Revision: 4}
 	Convey("Without an outage a removed server is dropped immediately", t, func() {
@@ -92,7 +97,7 @@
 		r.RecordFailure(start)
 		recovered := start.Add(5 * time.Second)
 		r.RecordSuccess(recovered)
-		r.Replace(recovered, []Item{{Key: "s2", Value: encode("b", 1, false), Revision: 3}}, 9)
+		r.Replace(recovered, []Item{{Key: "s2", Value: encode("b", 1, false), Revision: 3}}, Position{Revision: 9})
 		So(ids(r.VMs()), ShouldResemble, []string{"a", "b"})
 		r.Apply(recovered.Add(time.Second), Changes{Changes: []Change{{Item: Item{Key: "s1", Value: encode("a", 1, false), Revision: 10}}}, Revision: 10})
 		r.Expire(recovered.Add(time.Minute))
@@ -111,14 +116,14 @@
 func TestEntries(t *testing.T) {
 	Convey("An invalid entry adds no server and does not affect other entries", t, func() {
 		r := NewReplica(DefaultConfig(), textDecoder{})
-		r.Replace(start, []Item{{Key: "s1", Value: []byte("{"), Revision: 2}, {Key: "s2", Value: encode("b", 1, false), Revision: 3}, {Key: "x", Value: []byte("?"), Revision: 3}}, 3)
+		r.Replace(start, []Item{{Key: "s1", Value: []byte("{"), Revision: 2}, {Key: "s2", Value: encode("b", 1, false), Revision: 3}, {Key: "x", Value: []byte("?"), Revision: 3}}, Position{Revision: 3})
 		So(ids(r.VMs()), ShouldResemble, []string{"b"})
 		So(r.DecodeErrors(), ShouldHaveLength, 1)
 		So(r.DecodeErrors(), ShouldBeEmpty)
 	})
 	Convey("Of two entries for one VM the one of the later server run is used, regardless of its state", t, func() {
 		r := NewReplica(DefaultConfig(), textDecoder{})
-		r.Replace(start, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 2}, {Key: "s2", Value: encode("a", 2, true), Revision: 3}}, 3)
+		r.Replace(start, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 2}, {Key: "s2", Value: encode("a", 2, true), Revision: 3}}, Position{Revision: 3})
 		So(r.VMs(), ShouldHaveLength, 1)
 		So(r.VMs()[0].Leaving, ShouldBeTrue)
 	})
@@ -136,12 +141,12 @@
 	})
 	Convey("A copy with a lower revision is ignored", t, func() {
 		r := NewReplica(DefaultConfig(), textDecoder{})
-		r.Replace(start, []Item{{Key: "config", Value: []byte("new"), Revision: 8}}, 9)
-		So(r.Replace(start, []Item{{Key: "config", Value: []byte("old"), Revision: 2}}, 4), ShouldBeFalse)
+		r.Replace(start, []Item{{Key: "config", Value: []byte("new"), Revision: 8}}, Position{Revision: 9})
+		So(r.Replace(start, []Item{{Key: "config", Value: []byte("old"), Revision: 2}}, Position{Revision: 4}), ShouldBeFalse)
 		item, found := r.Release()
 		So(found, ShouldBeTrue)
 		So(string(item.Value), ShouldEqual, "new")
-		So(r.Revision(), ShouldEqual, 9)
+		So(r.Position().Revision, ShouldEqual, 9)
 	})
 }
 
@@ -176,7 +181,7 @@
 			case 0, 1:
 				change()
 			case 2:
-				from := int(r.Revision())
+				from := int(r.Position().Revision)
 				to := rapid.IntRange(from, at()).Draw(t, "to")
 				r.Apply(start, Changes{Changes: history[from:to], Revision: uint64(to)})
 			case 3:
@@ -186,15 +191,15 @@
 				for _, item := range states[revision] {
 					items = append(items, item)
 				}
-				r.Replace(start, items, uint64(revision))
+				r.Replace(start, items, Position{Revision: uint64(revision)})
 			}
-			want := states[r.Revision()]
+			want := states[r.Position().Revision]
 			if len(r.Items()) != len(want) {
-				t.Fatalf("revision %d: %d items, want %d", r.Revision(), len(r.Items()), len(want))
+				t.Fatalf("revision %d: %d items, want %d", r.Position().Revision, len(r.Items()), len(want))
 			}
 			for _, item := range r.Items() {
 				if want[item.Key].Revision != item.Revision {
-					t.Fatalf("revision %d: %s has revision %d, want %d", r.Revision(), item.Key, item.Revision, want[item.Key].Revision)
+					t.Fatalf("revision %d: %s has revision %d, want %d", r.Position().Revision, item.Key, item.Revision, want[item.Key].Revision)
 				}
 			}
 		}
@@ -219,23 +224,23 @@
 				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
 			case 3:
 				// All items are read again: what was removed in between is not known.
-				r.Replace(start, []Item{c.Item}, revision)
+				r.Replace(start, []Item{c.Item}, Position{Revision: revision})
 			default:
 				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
 			}
 			held := NewReplica(DefaultConfig(), textDecoder{})
-			held.Replace(start, r.Items(), revision)
+			held.Replace(start, r.Items(), Position{Revision: revision})
 			copies[revision] = held
 		}
 		for after, held := range copies {
-			if r.Knows(after) {
-				held.Apply(start, Changes{Changes: r.Since(after), Revision: r.Revision()})
+			if r.Knows(Position{Revision: after}) {
+				held.Apply(start, Changes{Changes: r.Since(Position{Revision: after}), Revision: r.Position().Revision})
 			} else {
 				var items []Item
-				for _, c := range r.Since(0) {
+				for _, c := range r.Since(Position{}) {
 					items = append(items, c.Item)
 				}
-				held.Replace(start, items, r.Revision())
+				held.Replace(start, items, r.Position())
 			}
 			if got, want := fmt.Sprint(held.Items()), fmt.Sprint(r.Items()); got != want {
 				t.Fatalf("from revision %d: %s, want %s", after, got, want)
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -7,6 +7,7 @@
 package source
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 
@@ -28,14 +29,33 @@
 	return fmt.Sprintf("store responded with status %d", e.Status)
 }
 
+// Position is a point in the history of the store. The zero value is before all others.
+type Position struct {
+	// Era counts how often the store came back from an older copy of itself and gave revisions
+	// out again. Revisions of different eras have nothing in common.
+	Era uint64
+	// Revision is the store's revision in that era.
+	Revision uint64
+}
+
+// Compare returns a negative number if p is before other, 0 if they are equal, and a positive
+// number otherwise.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
 // Item is one key of the store with its value.
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the store revision of the item's last change.
+	// Revision is the store revision of the item's last change, in the era Era.
 	Revision uint64
+	Era      uint64
 }
 
+// Position returns the point in the store's history of the item's last change.
+func (i *Item) Position() Position { return Position{Era: i.Era, Revision: i.Revision} }
+
 // Change is a write of an item, or the removal of a key.
 type Change struct {
 	Item
@@ -50,17 +70,19 @@
 	More bool
 	// Revision is the store's revision when the page was read.
 	Revision uint64
-	// Era counts how often the store came back from an older copy of itself. Revisions of
-	// different eras have nothing in common.
+	// Era is the era of Revision.
 	Era uint64
 }
 
+// Position returns the point in the store's history at which the page was read.
+func (p *Page) Position() Position { return Position{Era: p.Era, Revision: p.Revision} }
+
 // Changes holds the changes after a revision, in order of revision.
 type Changes struct {
 	Changes []Change
 	// Revision is the revision after which the next watch continues.
 	Revision uint64
-	// Era is the era of the store, as in Page.
+	// Era is the era of Revision and of all changes.
 	Era uint64
 }
 
@@ -79,6 +101,8 @@
 // ServerEntry is the decoded entry of a backend server.
 type ServerEntry struct {
 	VM vmlist.VM
+	// Sequence increases with each report of the same run of the server.
+	Sequence uint64
 }
 
 // Decoder interprets items. Release is called by one goroutine at a time, and so are Kind and
@@ -88,6 +112,8 @@
 	Kind(key string) Kind
 	// Release decodes the configuration. It returns an error if any part is invalid.
 	Release(value []byte) (*mesh.Published, error)
+	// ReleaseSequence returns the sequence number of a configuration without decoding the rest.
+	ReleaseSequence(value []byte) (uint64, error)
 	// Server decodes the entry of a backend server.
 	Server(key string, value []byte) (ServerEntry, error)
 }
--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -24,13 +24,13 @@
 	if r == nil {
 		return false
 	}
-	f.sendCopies(st, r.GetAfter(), r.GetFollow())
+	f.sendCopies(st, source.Position{Era: r.GetEra(), Revision: r.GetAfter()}, r.GetFollow())
 	return true
 }
 
-// sendCopies sends what is newer than a revision, and if follow is set, each further change
+// sendCopies sends what is newer than a position, and if follow is set, each further change
 // and confirmation until the stream ends.
-func (f *Follower) sendCopies(st *session.Stream, after uint64, follow bool) {
+func (f *Follower) sendCopies(st *session.Stream, after source.Position, follow bool) {
 	ended := make(chan struct{})
 	if follow {
 		var watcher conc.WaitGroup
@@ -56,7 +56,7 @@
 		if !follow {
 			return
 		}
-		after = c.GetRevision()
+		after = positionOf(c)
 		select {
 		case <-renewed:
 		case <-ended:
@@ -67,21 +67,22 @@
 	}
 }
 
-// copySince returns the changes after a revision, or the whole copy if they are not known, and
+// copySince returns the changes after a position, or the whole copy if they are not known, and
 // a channel that is closed when the copy has changed or was confirmed. With patch, a changed
-// release may be sent as a patch of the one at that revision.
-func (f *Follower) copySince(after uint64, patch bool) (*peerpb.SourceCopy, <-chan struct{}, error) {
+// release may be sent as a patch of the one at that position.
+func (f *Follower) copySince(after source.Position, patch bool) (*peerpb.SourceCopy, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.boot()
+	now, at := f.boot(), f.replica.Position()
 	c := &peerpb.SourceCopy{
-		Revision:  f.replica.Revision(),
+		Era:       at.Era,
+		Revision:  at.Revision,
 		AgeUs:     f.machine.Age(now).Microseconds(),
 		SentUs:    now.Microseconds(),
 		Unsourced: !f.machine.Sourced(),
 		GraceUs:   f.replica.GraceLeft(time.Now()).Microseconds(),
 	}
-	if c.Revision > after {
+	if at.Compare(after) > 0 {
 		var err error
 		if c.After, c.Items, err = f.encodeSinceLocked(after, patch); err != nil {
 			return nil, nil, err
@@ -90,15 +91,15 @@
 	return c, f.renewed, nil
 }
 
-// encodeSinceLocked returns the encoded changes after a revision, or the whole copy with base
-// 0. The caller holds mu.
-func (f *Follower) encodeSinceLocked(after uint64, patch bool) (base uint64, data []byte, err error) {
+// encodeSinceLocked returns the encoded changes after a position of the present era, of which base
+// is the revision, or the whole copy with base 0. The caller holds mu.
+func (f *Follower) encodeSinceLocked(after source.Position, patch bool) (base uint64, data []byte, err error) {
 	if !f.replica.Knows(after) {
-		after, patch = 0, false
+		after, patch = source.Position{}, false
 	}
-	key := encodingKey{after: after, revision: f.replica.Revision(), patched: patch}
+	key := encodingKey{after: after, at: f.replica.Position(), patched: patch}
 	if data := f.encoded.find(key); data != nil {
-		return after, data, nil
+		return after.Revision, data, nil
 	}
 	var old source.Item
 	if patch {
@@ -108,12 +109,14 @@
 		return 0, nil, err
 	}
 	f.encoded.add(key, data)
-	return after, data, nil
+	return after.Revision, data, nil
 }
 
 // applyItemsLocked applies the items of c. The caller holds mu.
 func (f *Follower) applyItemsLocked(c *peerpb.SourceCopy, received time.Duration) error {
-	if c.GetAfter() > f.replica.Revision() {
+	after, at := source.Position{Era: c.GetEra(), Revision: c.GetAfter()}, positionOf(c)
+	held := f.replica.Position()
+	if c.GetAfter() > 0 && (after.Era != held.Era || after.Revision > held.Revision) {
 		return errGap
 	}
 	changes, err := decodeChanges(c.GetItems(), f.replica.Value)
@@ -125,15 +128,15 @@
 		f.replica.ExtendGrace(now.Add(grace))
 	}
 	if c.GetAfter() > 0 {
-		f.encoded.add(encodingKey{after: c.GetAfter(), revision: c.GetRevision(), patched: true}, c.GetItems())
-		f.replica.Apply(now, source.Changes{Changes: changes, Revision: c.GetRevision()})
+		f.encoded.add(encodingKey{after: after, at: at, patched: true}, c.GetItems())
+		f.replica.Apply(now, source.Changes{Changes: changes, Era: at.Era, Revision: at.Revision})
 		return nil
 	}
 	items := make([]source.Item, len(changes))
 	for i, ch := range changes {
 		items[i] = ch.Item
 	}
-	f.replica.Replace(now, items, c.GetRevision())
+	f.replaceLocked(now, items, at)
 	return nil
 }
 
@@ -143,11 +146,11 @@
 	sets []encodedSet
 }
 
-// encodingKey identifies the encoding of the changes after one revision up to another one.
+// encodingKey identifies the encoding of the changes after one position up to another one.
 // patched is set if a value may be a patch.
 type encodingKey struct {
-	after, revision uint64
-	patched         bool
+	after, at source.Position
+	patched   bool
 }
 
 type encodedSet struct {
@@ -182,7 +185,7 @@
 
 // add adds the release item that the node holds now.
 func (h *releaseHistory) add(item source.Item) {
-	if n := len(h.items); n > 0 && h.items[n-1].Revision >= item.Revision {
+	if n := len(h.items); n > 0 && h.items[n-1].Position().Compare(item.Position()) >= 0 {
 		return
 	}
 	h.items = append(h.items, item)
@@ -191,11 +194,11 @@
 	}
 }
 
-// at returns the release item that a copy as of a revision holds, or an empty item if it is not
+// at returns the release item that a copy as of a position holds, or an empty item if it is not
 // known.
-func (h *releaseHistory) at(revision uint64) source.Item {
+func (h *releaseHistory) at(position source.Position) source.Item {
 	for _, item := range slices.Backward(h.items) {
-		if item.Revision <= revision {
+		if item.Position().Compare(position) <= 0 {
 			return item
 		}
 	}
--- a/node/follow/encoding.go
+++ b/node/follow/encoding.go
@@ -25,12 +25,14 @@
 func encodeChanges(changes []source.Change, base source.Item) ([]byte, error) {
 	m := &peerpb.SourceItems{Items: make([]*peerpb.SourceItem, 0, len(changes))}
 	for _, ch := range changes {
-		item := &peerpb.SourceItem{Key: ch.Key, Revision: ch.Revision, Removed: ch.Removed}
+		item := &peerpb.SourceItem{Key: ch.Key, Era: ch.Era, Revision: ch.Revision, Removed: ch.Removed}
 		if ch.Key == base.Key && len(ch.Value) >= minPatchBytes {
-			item.Patch, item.Base, item.Sum = diff(base.Value, ch.Value), base.Revision, xxhash.Sum64(ch.Value)
+			item.Patch = diff(base.Value, ch.Value)
 		}
 		if item.Patch == nil {
-			item.Value, item.Base, item.Sum = ch.Value, 0, 0
+			item.Value = ch.Value
+		} else {
+			item.Base, item.BaseEra, item.Sum = base.Revision, base.Era, xxhash.Sum64(ch.Value)
 		}
 		m.Items = append(m.Items, item)
 	}
@@ -41,9 +43,11 @@
 	return s2.Encode(nil, data), nil
 }
 
-// decodeChanges decodes what encodeChanges returns. value returns the local value of a key at a
-// revision.
-func decodeChanges(data []byte, value func(key string, revision uint64) ([]byte, bool)) ([]source.Change, error) {
+// localValue returns the local value of a key if its last change was at a position.
+type localValue func(key string, at source.Position) ([]byte, bool)
+
+// decodeChanges decodes what encodeChanges returns.
+func decodeChanges(data []byte, value localValue) ([]source.Change, error) {
 	size, err := s2.DecodedLen(data)
 	if err != nil {
 		return nil, fmt.Errorf("copy of the store: %w", err)
@@ -61,7 +65,8 @@
 	}
 	changes := make([]source.Change, len(m.GetItems()))
 	for i, p := range m.GetItems() {
-		ch := source.Change{Item: source.Item{Key: p.GetKey(), Value: p.GetValue(), Revision: p.GetRevision()}, Removed: p.GetRemoved()}
+		item := source.Item{Key: p.GetKey(), Value: p.GetValue(), Era: p.GetEra(), Revision: p.GetRevision()}
+		ch := source.Change{Item: item, Removed: p.GetRemoved()}
 		if p.GetPatch() != nil {
 			if ch.Value, err = patched(p, value); err != nil {
 				return nil, fmt.Errorf("copy of the store: %s: %w", p.GetKey(), err)
@@ -100,10 +105,11 @@
 var errNoBase = errors.New("no value for the patch")
 
 // patched returns the value of an item that was sent as a patch.
-func patched(p *peerpb.SourceItem, value func(key string, revision uint64) ([]byte, bool)) ([]byte, error) {
-	old, found := value(p.GetKey(), p.GetBase())
+func patched(p *peerpb.SourceItem, value localValue) ([]byte, error) {
+	base := source.Position{Era: p.GetBaseEra(), Revision: p.GetBase()}
+	old, found := value(p.GetKey(), base)
 	if !found {
-		return nil, fmt.Errorf("%w: revision %d", errNoBase, p.GetBase())
+		return nil, fmt.Errorf("%w: revision %d of era %d", errNoBase, base.Revision, base.Era)
 	}
 	dec, err := zstd.NewReader(nil, zstd.WithDecoderDictRaw(patchDictionary, old), zstd.WithDecoderConcurrency(1),
 		zstd.WithDecoderMaxMemory(maxCopyBytes), zstd.WithDecoderLowmem(true))
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -57,10 +57,10 @@
 
 	// applyMu guards the fields below and is locked before mu.
 	applyMu sync.Mutex
-	// snapshot is the active release. releaseRevision is the revision of the last release
-	// item that was read; an invalid one leaves snapshot unchanged.
-	snapshot        *mesh.Snapshot
-	releaseRevision uint64
+	// snapshot is the active release. releaseAt is the position of the last release item that
+	// was read; an invalid one leaves snapshot unchanged.
+	snapshot  *mesh.Snapshot
+	releaseAt source.Position
 	// listChanges is the change count of the VM list that was applied last.
 	listChanges uint64
 }
@@ -229,10 +229,10 @@
 	}
 }
 
-func (f *Follower) revision() uint64 {
+func (f *Follower) position() source.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.Revision()
+	return f.replica.Position()
 }
 
 // renewLocked tells the nodes that follow this one that the copy changed or was confirmed. The
@@ -270,14 +270,14 @@
 		f.listChanges = changes
 		f.command.ApplyVMList(&vmlist.List{Revision: changes, VMs: vms})
 	}
-	if found && item.Revision != f.releaseRevision {
+	if found && item.Position() != f.releaseAt {
 		f.applyRelease(item)
 	}
 }
 
 // applyRelease applies a release item if it is valid. The caller holds applyMu.
 func (f *Follower) applyRelease(item source.Item) {
-	f.releaseRevision = item.Revision
+	f.releaseAt = item.Position()
 	p, err := f.decoder.Release(item.Value)
 	if err == nil {
 		var snap *mesh.Snapshot
@@ -287,7 +287,7 @@
 			return
 		}
 	}
-	f.log.Warn().Err(err).Str("event", "release-refused").Uint64("revision", item.Revision).Msg("configuration is invalid; the active release stays")
+	f.log.Warn().Err(err).Str("event", "release-refused").Uint64("era", item.Era).Uint64("revision", item.Revision).Msg("configuration is invalid; the active release stays")
 }
 
 // expire periodically drops entries that did not return after an outage.
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -59,7 +59,7 @@
 func (s *fakeStore) put(key, value string) {
 	s.change(func() {
 		s.revision++
-		item := source.Item{Key: key, Value: []byte(value), Revision: s.revision}
+		item := source.Item{Key: key, Value: []byte(value), Revision: s.revision, Era: s.era}
 		s.items[key] = item
 		s.events = append(s.events, source.Change{Item: item})
 	})
@@ -74,6 +74,7 @@
 	}
 	p := source.Page{Revision: s.revision, Era: s.era}
 	for _, i := range s.items {
+		i.Era = s.era
 		p.Items = append(p.Items, i)
 	}
 	return p, nil
@@ -87,6 +88,7 @@
 		c := source.Changes{Revision: s.revision, Era: s.era}
 		for _, e := range s.events {
 			if e.Revision > after {
+				e.Era = s.era
 				c.Changes = append(c.Changes, e)
 			}
 		}
@@ -132,6 +134,13 @@
 	}}}, nil
 }
 
+func (plainDecoder) ReleaseSequence(value []byte) (uint64, error) {
+	if len(value) == 0 {
+		return 0, errors.New("no configuration")
+	}
+	return uint64(value[0]), nil
+}
+
 func (plainDecoder) Server(key string, _ []byte) (source.ServerEntry, error) {
 	return source.ServerEntry{VM: vmlist.VM{ID: key, Service: "s", Peer: netip.MustParseAddrPort(key + ":1")}}, nil
 }
@@ -311,7 +320,7 @@
 
 // A copy must be complete, and a truncated or oversized one must not be applied.
 func TestCopies(t *testing.T) {
-	noValue := func(string, uint64) ([]byte, bool) { return nil, false }
+	noValue := func(string, source.Position) ([]byte, bool) { return nil, false }
 	Convey("A copy contains every change, and damaged data are rejected", t, func() {
 		changes := []source.Change{{Item: source.Item{Key: "a", Value: []byte("1"), Revision: 3}}, {Item: source.Item{Key: "b", Revision: 4}, Removed: true}}
 		data, err := encodeChanges(changes, source.Item{})
@@ -333,11 +342,11 @@
 	})
 	Convey("A peer receives a copy only if it is newer than the peer's own", t, func() {
 		f := New(DefaultConfig(), newFakeStore(), plainDecoder{}, noPeers{}, &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}, bootClock(), zerolog.Nop())
-		f.replica.Replace(time.Now(), []source.Item{{Key: "10.0.0.2", Revision: 8}}, 9)
-		c, _, err := f.copySince(9, false)
+		f.replica.Replace(time.Now(), []source.Item{{Key: "10.0.0.2", Revision: 8}}, source.Position{Revision: 9})
+		c, _, err := f.copySince(source.Position{Revision: 9}, false)
 		So(err, ShouldBeNil)
 		So(c.GetItems(), ShouldBeEmpty)
-		c, _, err = f.copySince(8, false)
+		c, _, err = f.copySince(source.Position{Revision: 8}, false)
 		So(err, ShouldBeNil)
 		So(c.GetItems(), ShouldNotBeEmpty)
 		So(c.GetRevision(), ShouldEqual, 9)
@@ -356,13 +365,15 @@
 		data, err := encodeChanges([]source.Change{{Item: source.Item{Key: "config", Value: changed, Revision: 9}}}, base)
 		So(err, ShouldBeNil)
 		So(len(data), ShouldBeLessThan, len(s2.Encode(nil, changed))/50)
-		held := func(key string, revision uint64) ([]byte, bool) { return old, key == "config" && revision == 3 }
+		held := func(key string, at source.Position) ([]byte, bool) {
+			return old, key == "config" && at == (source.Position{Revision: 3})
+		}
 		got, err := decodeChanges(data, held)
 		So(err, ShouldBeNil)
 		So(bytes.Equal(got[0].Value, changed), ShouldBeTrue)
 		_, err = decodeChanges(data, noValue)
 		So(errors.Is(err, errNoBase), ShouldBeTrue)
-		other := func(string, uint64) ([]byte, bool) { return changed, true }
+		other := func(string, source.Position) ([]byte, bool) { return changed, true }
 		_, err = decodeChanges(data, other)
 		So(err, ShouldNotBeNil)
 	})
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"auburnladder.example/core/source"
 	"auburnladder.example/core/spread"
 	"auburnladder.example/core/transit"
 	"auburnladder.example/core/vmlist"
@@ -34,10 +35,10 @@
 
 // followParent takes changes from the node of a VM until ctx ends or the stream fails.
 func (f *Follower) followParent(ctx context.Context, vm vmlist.VM) {
-	err := f.receiveFrom(ctx, vm, f.revision())
+	err := f.receiveFrom(ctx, vm, f.position())
 	if errors.Is(err, errNoBase) || errors.Is(err, errGap) {
 		// This node's copy has changed on another path: take the whole copy.
-		err = f.receiveFrom(ctx, vm, 0)
+		err = f.receiveFrom(ctx, vm, source.Position{})
 	}
 	if ctx.Err() != nil {
 		return
@@ -50,8 +51,8 @@
 }
 
 // receiveFrom opens a stream to the node of a VM and applies the copies that it sends, which
-// begin after a revision.
-func (f *Follower) receiveFrom(ctx context.Context, vm vmlist.VM, after uint64) error {
+// begin after a position.
+func (f *Follower) receiveFrom(ctx context.Context, vm vmlist.VM, after source.Position) error {
 	dial, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	ses, err := f.peers.Get(dial, vm.ID, vm.Peer)
@@ -112,8 +113,14 @@
 // pastDeadline is a stream deadline that interrupts pending reads and writes at once.
 var pastDeadline = time.Unix(1, 0)
 
-func copyRequest(after uint64, follow bool) *peerpb.Request {
-	return &peerpb.Request{Kind: &peerpb.Request_SourceCopy{SourceCopy: &peerpb.SourceCopyRequest{After: after, Follow: follow}}}
+func copyRequest(after source.Position, follow bool) *peerpb.Request {
+	r := &peerpb.SourceCopyRequest{Era: after.Era, After: after.Revision, Follow: follow}
+	return &peerpb.Request{Kind: &peerpb.Request_SourceCopy{SourceCopy: r}}
+}
+
+// positionOf returns the position as of which a copy is complete.
+func positionOf(c *peerpb.SourceCopy) source.Position {
+	return source.Position{Era: c.GetEra(), Revision: c.GetRevision()}
 }
 
 // askPeers requests newer copies from random peers, one round every PeerInterval, while the
@@ -146,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	before, asked := f.revision(), f.boot()
+	before, asked := f.position(), f.boot()
 	var c peerpb.SourceCopy
 	if err := ses.Exchange(ctx, copyRequest(before, false), &c); err != nil {
 		return err
@@ -159,17 +166,17 @@
 	f.machine.Copied(asOf)
 	f.mu.Unlock()
 	f.signalSteer()
-	if c.GetRevision() > before {
+	if positionOf(&c).Compare(before) > 0 {
 		f.log.Info().Str("event", "peer-copy-taken").Stringer("peer", addr).
-			Uint64("from_revision", before).Uint64("revision", c.GetRevision()).Msg("copy of the store applied from a peer")
+			Uint64("from_revision", before.Revision).Uint64("era", c.GetEra()).Uint64("revision", c.GetRevision()).Msg("copy of the store applied from a peer")
 	}
 	return nil
 }
 
 var (
 	errEmptyPeer = errors.New("the peer holds no copy yet")
-	errGap       = errors.New("the peer's changes begin after the local revision")
-	errBehind    = errors.New("the peer sent no items for a revision above the local one")
+	errGap       = errors.New("the peer's changes begin after the local position")
+	errBehind    = errors.New("the peer sent no items for a position after the local one")
 )
 
 // applyCopy applies a copy or the changes of a peer and returns the time as of which this
@@ -193,7 +200,7 @@
 func (f *Follower) mergeCopy(c *peerpb.SourceCopy, received time.Duration) (changed bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.GetRevision() < f.replica.Revision() {
+	if positionOf(c).Compare(f.replica.Position()) < 0 {
 		return false, nil
 	}
 	if len(c.GetItems()) > 0 {
@@ -201,7 +208,7 @@
 			return false, err
 		}
 	}
-	if c.GetRevision() > f.replica.Revision() {
+	if positionOf(c).Compare(f.replica.Position()) > 0 {
 		return false, errBehind
 	}
 	f.renewLocked()
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -15,12 +15,12 @@
 	backoff := f.cfg.RetryMin
 	for f.await(ctx, f.wantsStore) {
 		call := f.readAll
-		if f.revision() > 0 {
+		if f.position().Revision > 0 {
 			call = f.watch
 		}
 		err := f.callUntilDone(ctx, call)
 		if errors.Is(err, source.ErrHistoryLost) {
-			f.log.Warn().Str("event", "history-lost").Uint64("revision", f.revision()).Msg("store no longer has the changes since this revision; reading all items")
+			f.log.Warn().Str("event", "history-lost").Uint64("revision", f.position().Revision).Msg("store no longer has the changes since this revision; reading all items")
 			err = f.callUntilDone(ctx, f.readAll)
 		}
 		if err != nil {
@@ -63,57 +63,92 @@
 	}
 }
 
+// errEraChanged reports that the store came back from an older copy while its pages were read, or
+// that a response is from before then.
+var errEraChanged = errors.New("the response of the store is of another era")
+
 // readAll reads all pages. The next watch starts at the revision of the first page, so that
 // changes made while the pages were read are not missed; some are received twice.
 func (f *Follower) readAll() error {
-	var items []source.Item
-	var revision, era uint64
 	began := f.boot()
+	items, at, err := f.readPages()
+	if err != nil {
+		return err
+	}
+	f.recordSuccess()
+	f.mu.Lock()
+	held := f.replica.Position()
+	if at.Era < held.Era {
+		f.mu.Unlock()
+		return errEraChanged
+	}
+	f.replaceLocked(time.Now(), items, at)
+	f.machine.StoreRead(began)
+	f.renewLocked()
+	f.mu.Unlock()
+	f.log.Info().Str("event", "store-read").Uint64("era", at.Era).Uint64("revision", at.Revision).
+		Uint64("held_era", held.Era).Uint64("held_revision", held.Revision).
+		Int("items", len(items)).Msg("all items of the store were read")
+	f.applyReplica()
+	return nil
+}
+
+// readPages returns all items, and the position of the first page.
+func (f *Follower) readPages() (items []source.Item, at source.Position, err error) {
 	for after := ""; ; {
 		page, err := f.store.List(after)
 		if err != nil {
-			return err
+			return nil, at, err
 		}
 		if after == "" {
-			revision, era = page.Revision, page.Era
+			at = page.Position()
+		}
+		if page.Era != at.Era {
+			return nil, at, errEraChanged
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			break
+			return items, at, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	f.recordSuccess()
-	f.mu.Lock()
-	held := f.replica.Revision()
-	f.replica.Replace(time.Now(), items, revision)
-	f.machine.StoreRead(began)
-	f.renewLocked()
-	f.mu.Unlock()
-	f.log.Info().Str("event", "store-read").Uint64("era", era).Uint64("revision", revision).Uint64("held_revision", held).
-		Int("items", len(items)).Msg("all items of the store were read")
-	f.applyReplica()
-	return nil
+}
+
+// replaceLocked replaces the items by those that the store had at a position, and reports if it
+// came back from an older copy. The caller holds mu.
+func (f *Follower) replaceLocked(now time.Time, items []source.Item, at source.Position) {
+	if held := f.replica.Position(); at.Era > held.Era && held.Revision > 0 {
+		f.log.Warn().Str("event", "store-restored").Uint64("era", at.Era).Uint64("revision", at.Revision).
+			Uint64("held_era", held.Era).Uint64("held_revision", held.Revision).
+			Msg("store came back from an older copy; newer configuration and reports of servers are kept")
+	}
+	f.replica.Replace(now, items, at)
 }
 
 // watch makes one watch call and applies the changes that it returns.
 func (f *Follower) watch() error {
 	wait := f.watchWait()
-	began := f.boot()
-	changes, err := f.store.Watch(f.revision(), wait)
+	began, after := f.boot(), f.position()
+	changes, err := f.store.Watch(after.Revision, wait)
 	if err != nil {
 		return err
 	}
+	if changes.Era != after.Era {
+		// The revision after which was asked is of the era before: changes may be missing.
+		return source.ErrHistoryLost
+	}
 	f.recordSuccess()
 	f.mu.Lock()
-	f.replica.Apply(time.Now(), changes)
+	applied := f.replica.Apply(time.Now(), changes)
 	asOf := began
 	if len(changes.Changes) == 0 {
 		// The store waited in full before it responded.
 		asOf += wait
 	}
-	f.machine.StoreRead(min(asOf, f.boot()))
-	f.renewLocked()
+	if applied {
+		f.machine.StoreRead(min(asOf, f.boot()))
+		f.renewLocked()
+	}
 	f.mu.Unlock()
 	f.applyReplica()
 	return nil
