--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnladder.example/core/steady"
+	"auburnladder.example/core/vmlist"
 )
 
 // Server identifies a backend server and its location.
@@ -20,9 +21,9 @@
 	Peer netip.AddrPort
 	// Leaving excludes the server from new requests.
 	Leaving bool
-	// Instance identifies the process of the server and changes with each restart, which
-	// begins a new warm-up. It is empty if unknown.
-	Instance string
+	// Run identifies the process of the server and changes with each restart, which begins a
+	// new warm-up. It is the zero value if unknown.
+	Run vmlist.Run
 	// Slots is the number of requests that the server processes concurrently; 0 selects
 	// the value in the service's configuration.
 	Slots int
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -16,6 +16,7 @@
 	"auburnladder.example/core/routing/p2c"
 	"auburnladder.example/core/routing/random"
 	"auburnladder.example/core/routing/roundrobin"
+	"auburnladder.example/core/vmlist"
 )
 
 var (
@@ -145,6 +146,14 @@
 			So(e.Weight(later.Add(slowStart/2), slowStart), ShouldAlmostEqual, 0.55)
 			So(e.Weight(later.Add(slowStart), slowStart), ShouldEqual, 1)
 		})
+		Convey("a server that was started again gets one, too, also under the same instance", func() {
+			list[0].Run = vmlist.Run{Instance: "i-1", StartedAtMs: 1000}
+			d.Update(start, testSnapshot(t), list)
+			before := d.Table("programma").Endpoints[0]
+			list[0].Run.StartedAtMs = 2000
+			d.Update(start, testSnapshot(t), list)
+			So(d.Table("programma").Endpoints[0], ShouldNotPointTo, before)
+		})
 		Convey("a service without servers has no table", func() {
 			d.Update(start, testSnapshot(t), nil)
 			So(d.Table("programma"), ShouldBeNil)
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -121,7 +121,7 @@
 	msg.Attempt = uint32(a.call.retry.Attempts() + 1)
 	msg.RemainingUs = uint64(max(0, (time.Until(a.deadline) - refusalMargin).Microseconds()))
 	msg.ObjectiveUs = time.Until(a.call.objective).Microseconds()
-	msg.Instance = a.endpoint.Instance
+	msg.Instance = a.endpoint.Run.Instance
 	msg.SentUs = steady.Boot().Microseconds()
 	req := peerpb.Request{Kind: &peerpb.Request_Call{Call: msg}}
 	if err := a.sendCall(&req); err != nil {
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -111,7 +111,7 @@
 	if status >= fasthttp.StatusInternalServerError || c.retry.Attempts() > 1 {
 		line = g.Decisions.Warn("request-answered")
 	}
-	c.addFields(line).Str("server", a.endpoint.VM).Str("instance", a.endpoint.Instance).
+	c.addFields(line).Str("server", a.endpoint.VM).Str("instance", a.endpoint.Run.Instance).
 		Int("status", status).Dur("took_ms", time.Since(started)).Msg("response forwarded to the caller")
 }
 
--- a/node/proxy/ingress/router.go
+++ b/node/proxy/ingress/router.go
@@ -222,9 +222,8 @@
 			Region:  vm.Region,
 			Peer:    vm.Peer,
 			Leaving: vm.Leaving,
-
-			Instance: vm.Instance,
-			Slots:    vm.Slots,
+			Run:     vm.Run(),
+			Slots:   vm.Slots,
 		}
 	}
 	return list
