--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -59,6 +59,18 @@
 	Service string `yaml:"service" check:"required"`
 	Domain  string `yaml:"domain" check:"required"`
 	Region  string `yaml:"region" check:"required"`
+	// LinkMbps is the rate of the VM's network link in megabits per second, 0 if unknown. It
+	// bounds from below the rate that is measured with response bodies, which is too low while
+	// their receivers are busy.
+	LinkMbps float64 `yaml:"link_mbps"`
+}
+
+// Validate checks the rate of the link.
+func (v *VM) Validate() []yamlcheck.Problem {
+	if v.LinkMbps < 0 {
+		return []yamlcheck.Problem{{Field: "link_mbps", Found: fmt.Sprint(v.LinkMbps), Expected: "0 or more"}}
+	}
+	return nil
 }
 
 // Listen holds the addresses that the node listens on, each "ip:port".
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -23,7 +23,7 @@
 // Guards against a parser that stops at the first error: an operator must see all of them
 // at once, each with its line and field.
 func TestParseNamesEveryError(t *testing.T) {
-	const file = `vm: {id: a, service: s, region: r}
+	const file = `vm: {id: a, service: s, region: r, link_mbps: -1}
 listen:
   peer: localhost:1
   caller: 127.0.0.1:2
@@ -40,7 +40,7 @@
 		_, err := Parse("node.yaml", []byte(file))
 		So(err, ShouldNotBeNil)
 		for _, want := range []string{
-			"vm.domain", "node.yaml:3", "listen.peer", "node.yaml:9", "platform.timeout",
+			"vm.domain", "vm.link_mbps", "node.yaml:3", "listen.peer", "node.yaml:9", "platform.timeout",
 			"approval_keys[0]", "preset", "node.yaml:12", "colour",
 		} {
 			So(err.Error(), ShouldContainSubstring, want)
--- a/node/settings/template.go
+++ b/node/settings/template.go
@@ -18,6 +18,7 @@
   service: programma
   domain: nl-central-a
   region: nl-central
+  # link_mbps: 1000       # optional: rate of the VM's network link, megabits per second
 
 # required: this node's own addresses, IP numbers only.
 listen:
--- a/node/transfer/window_test.go
+++ b/node/transfer/window_test.go
@@ -111,6 +111,50 @@
 	})
 }
 
+// Guards against bodies that wait until their deadline on an idle link, because receivers that get
+// little processor time confirm late and that is taken for a slow link.
+func TestLateConfirmationsStarveAFastLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Bodies on a fast link are not delayed by receivers that confirm 100 ms late", t, func() {
+			const bodies, parts, interval = 50, 6, 20 * time.Millisecond
+			const linkRate, confirmDelay, deadline = 125_000_000, 100 * time.Millisecond, 200 * time.Millisecond
+			cfg := DefaultConfig()
+			cfg.LinkRate = linkRate
+			w := New(cfg)
+			late := make([]bool, bodies)
+			var all conc.WaitGroup
+			for i := range bodies {
+				time.Sleep(interval)
+				all.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), deadline)
+					defer cancel()
+					late[i] = sendConfirmedLate(ctx, w, parts, confirmDelay) != nil
+				})
+			}
+			all.Wait()
+			So(late, ShouldNotContain, true)
+		})
+	})
+}
+
+// sendConfirmedLate sends a body of parts, each of which is confirmed after a delay.
+func sendConfirmedLate(ctx context.Context, w *Window, parts int, delay time.Duration) error {
+	t := w.Begin(time.Now(), parts*partSize, time.Now().Add(delay))
+	var confirmations conc.WaitGroup
+	defer t.End(time.Now())
+	defer confirmations.Wait()
+	for i := range parts {
+		if err := t.Acquire(ctx, partSize); err != nil {
+			return err
+		}
+		confirmations.Go(func() {
+			time.Sleep(delay)
+			t.Confirm(time.Now(), (i+1)*partSize)
+		})
+	}
+	return nil
+}
+
 // Guards against an estimate that is far too low. It arises if confirmations are counted as
 // the rate of the link while the window is not full, and if an old estimate never expires.
 func TestRateWithLittleLoad(t *testing.T) {
