Split the limiter, the replica and the e2e cluster by concern

Declarations are moved as they are: waiters of the limiter (waiter.go), history and outages of the replica (history.go, outage.go), platform and nodes of the test cluster.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -64,23 +64,6 @@
 	removalsFrom uint64
 }
 
-// removal is the removal of a key at a revision.
-type removal struct {
-	key      string
-	revision uint64
-}
-
-// maxRemovals bounds the removals that a replica remembers. A node that is further behind gets
-// the whole copy.
-const maxRemovals = 1024
-
-// retainedEntry is a server entry that stays in the list until a given time although it
-// was removed from the store.
-type retainedEntry struct {
-	entry ServerEntry
-	until time.Time
-}
-
 // NewReplica returns an empty replica.
 func NewReplica(cfg Config, d Decoder) *Replica {
 	return &Replica{
@@ -132,39 +115,6 @@
 // ListChanges returns the number of changes of the list returned by VMs.
 func (r *Replica) ListChanges() uint64 { return r.listChanges }
 
-// RecordFailure records a failed request to the store.
-func (r *Replica) RecordFailure(now time.Time) {
-	if r.failedSince.IsZero() {
-		r.failedSince = now
-	}
-}
-
-// RecordSuccess records a response from the store. If it ends an outage, server entries
-// that are removed within Config.ReturnGrace are retained until that period ends.
-func (r *Replica) RecordSuccess(now time.Time) {
-	if !r.failedSince.IsZero() && now.Sub(r.failedSince) >= r.cfg.OutageAfter {
-		r.graceUntil = now.Add(r.cfg.ReturnGrace)
-	}
-	r.failedSince = time.Time{}
-}
-
-// ExtendGrace extends the grace period up to the given time, because another node has seen
-// the end of an outage.
-func (r *Replica) ExtendGrace(until time.Time) {
-	if until.After(r.graceUntil) {
-		r.graceUntil = until
-	}
-}
-
-// GraceLeft returns the rest of the grace period after an outage, 0 if there is none.
-func (r *Replica) GraceLeft(now time.Time) time.Duration {
-	return max(0, r.graceUntil.Sub(now))
-}
-
-// InReturnGrace reports whether the grace period after an outage is running, in which
-// entries that expired during the outage may be written again.
-func (r *Replica) InReturnGrace(now time.Time) bool { return now.Before(r.graceUntil) }
-
 // Replace replaces the items by those that the store had at a position, and keeps items that are
 // newer. It returns false and changes nothing if the replica itself is at a later position.
 func (r *Replica) Replace(now time.Time, items []Item, at Position) bool {
@@ -216,46 +166,6 @@
 	return true
 }
 
-// recordRemoval remembers a removal for Since.
-func (r *Replica) recordRemoval(key string, revision uint64) {
-	r.removals = append(r.removals, removal{key: key, revision: revision})
-	if len(r.removals) > maxRemovals {
-		r.removalsFrom = max(r.removalsFrom, r.removals[0].revision)
-		r.removals = r.removals[1:]
-	}
-}
-
-// Knows reports whether Since returns all changes after a position.
-func (r *Replica) Knows(after Position) bool {
-	return after.Revision > 0 && after.Era == r.at.Era && after.Revision >= r.removalsFrom
-}
-
-// Since returns the changes after a position, which the replica must know, or all items for
-// the zero value.
-func (r *Replica) Since(after Position) []Change {
-	var changes []Change
-	for _, item := range r.Items() {
-		if after == (Position{}) || item.Position().Compare(after) > 0 {
-			changes = append(changes, Change{Item: item})
-		}
-	}
-	if after == (Position{}) {
-		return changes
-	}
-	for _, gone := range r.removals {
-		if _, present := r.items[gone.key]; !present && gone.revision > after.Revision {
-			changes = append(changes, Change{Item: Item{Key: gone.key, Revision: gone.revision, Era: r.at.Era}, Removed: true})
-		}
-	}
-	return changes
-}
-
-// Value returns the value of a key if its last change was at the given position.
-func (r *Replica) Value(key string, at Position) ([]byte, bool) {
-	item, found := r.items[key]
-	return item.Value, found && item.Position() == at
-}
-
 // put stores an item unless the replica has the same or a newer one.
 func (r *Replica) put(item Item) {
 	old, found := r.items[item.Key]
@@ -312,28 +222,6 @@
 	}
 }
 
-// Expire drops retained entries whose grace period has ended, and lists withheld ones that are
-// still there. It returns the time at which the next grace period ends, or the zero time if none
-// is left.
-func (r *Replica) Expire(now time.Time) time.Time {
-	for _, key := range r.restored.expired(now) {
-		r.listChanges++
-		r.decodeServer(r.items[key])
-	}
-	var next time.Time
-	for key, k := range r.retained {
-		if !now.Before(k.until) {
-			delete(r.retained, key)
-			r.listChanges++
-			continue
-		}
-		if next.IsZero() || k.until.Before(next) {
-			next = k.until
-		}
-	}
-	return next
-}
-
 // VMs returns the VMs of all servers, ordered by ID. If a VM has several entries, the one
 // of the server started last is used.
 func (r *Replica) VMs() []vmlist.VM {
--- a/e2e/harness/cluster.go
+++ b/e2e/harness/cluster.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,13 +10,9 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
-	"auburnladder.example/core/release"
-	"auburnladder.example/core/statusapi"
 	"auburnladder.example/core/vmlist"
-	"auburnladder.example/standin/platform"
 )
 
 const (
@@ -112,15 +107,6 @@
 	return c, c.publishVMs()
 }
 
-func (c *Cluster) startVM(vm *VM, opts Options) error {
-	if !opts.NoBackends {
-		if err := c.startBackend(vm); err != nil {
-			return err
-		}
-	}
-	return errors.Join(c.writeSettings(vm), c.StartNode(vm))
-}
-
 // Stop kills every process of the cluster and waits for its exit.
 func (c *Cluster) Stop() {
 	for _, vm := range c.VMs {
@@ -176,96 +162,6 @@
 	return nil
 }
 
-func (c *Cluster) platformAddress() string {
-	return fmt.Sprintf("%s0.1:%d", c.network, platformPort)
-}
-
-func (c *Cluster) platformURL() string {
-	return "http://" + c.platformAddress()
-}
-
-func (c *Cluster) startPlatform() error {
-	p, err := startProcess(c.Dir, "platform", filepath.Join(c.bin, "standin"), "platform", "--listen", c.platformAddress())
-	if err != nil {
-		return err
-	}
-	c.platform = p
-	return Eventually("platform stand-in responds", func() error {
-		_, err := c.Stats()
-		return err
-	})
-}
-
-func (c *Cluster) startBackend(vm *VM) error {
-	p, err := startProcess(c.Dir, "backend-"+vm.ID, filepath.Join(c.bin, "standin"), "backend",
-		"--listen", vm.serverAddress(), "--service", vm.Service, "--vm", vm.ID,
-		"--work", serviceTime.String(), "--faults", "--stop-path", "/stop", "--history", vm.HistoryFile())
-	vm.Backend = p
-	return err
-}
-
-func (v *VM) serverAddress() string {
-	return fmt.Sprintf("%s:%d", v.Peer.Addr(), serverPort)
-}
-
-// HistoryFile returns the path of the file in which the backend server records its
-// requests.
-func (v *VM) HistoryFile() string {
-	return filepath.Join(v.dir, "history-"+v.ID+".jsonl")
-}
-
-func (v *VM) settingsFile() string {
-	return filepath.Join(v.dir, v.ID+".yaml")
-}
-
-func (c *Cluster) writeSettings(vm *VM) error {
-	key, err := os.ReadFile(c.keyFile() + ".pub")
-	if err != nil {
-		return fmt.Errorf("read approval key for node settings: %w", err)
-	}
-	tls := "{mode: plain}"
-	if c.authority != nil {
-		if tls, err = c.authority.issue(vm.ID); err != nil {
-			return fmt.Errorf("issue certificate for node settings: %w", err)
-		}
-	}
-	text := fmt.Sprintf(`vm: {id: %s, service: %s, domain: %s, region: %s}
-listen: {peer: "%s", caller: "%s", admin: "%s"}
-server: {address: "%s"}
-platform: {addresses: ["%s"]}
-peer_tls: %s
-approval_keys: ["%s"]
-`, vm.ID, vm.Service, vm.Domain, vm.Region, vm.Peer, vm.Caller, vm.Admin,
-		vm.serverAddress(), c.platformAddress(), tls, strings.TrimSpace(string(key)))
-	return os.WriteFile(vm.settingsFile(), []byte(text), 0o600)
-}
-
-// StartNode starts the process of a VM's node with the settings on disk. The previous
-// process, if any, must have exited.
-func (c *Cluster) StartNode(vm *VM) error {
-	p, err := startProcess(c.Dir, "node-"+vm.ID, filepath.Join(c.bin, "auburnladder-node"), "--settings", vm.settingsFile())
-	if err != nil {
-		return err
-	}
-	vm.Node = p
-	return c.Faults.Append(Fault{At: time.Now(), VM: vm.ID, Kind: NodeStarted})
-}
-
-// KillNode kills a VM's node with SIGKILL and waits for its exit.
-func (c *Cluster) KillNode(vm *VM) error {
-	return errors.Join(c.Faults.Append(Fault{At: time.Now(), VM: vm.ID, Kind: NodeKilled}), vm.Node.Kill())
-}
-
-// PauseNode pauses a VM's node with SIGSTOP.
-func (c *Cluster) PauseNode(vm *VM) error {
-	return errors.Join(c.Faults.Append(Fault{At: time.Now(), VM: vm.ID, Kind: NodePaused}), vm.Node.Signal(syscall.SIGSTOP))
-}
-
-// ResumeNode resumes a paused node with SIGCONT.
-func (c *Cluster) ResumeNode(vm *VM) error {
-	return errors.Join(vm.Node.Signal(syscall.SIGCONT), c.Faults.Append(Fault{At: time.Now(), VM: vm.ID, Kind: NodeResumed}))
-}
-
 // InDomain returns the VMs of a failure domain.
 func (c *Cluster) InDomain(domain string) []*VM {
 	return slices.DeleteFunc(slices.Clone(c.VMs), func(vm *VM) bool { return vm.Domain != domain })
@@ -276,113 +172,6 @@
 	return slices.DeleteFunc(slices.Clone(c.VMs), func(vm *VM) bool { return slices.Contains(vms, vm) })
 }
 
-// AwaitReady waits until a VM's node serves callers.
-func (c *Cluster) AwaitReady(vm *VM) error {
-	return Eventually(vm.ID+" is ready", func() error {
-		return c.get("http://"+vm.Admin.String()+statusapi.ReadyPath, nil)
-	})
-}
-
-// MarkReady waits until a node that was down or paused serves callers again, and records
-// that.
-func (c *Cluster) MarkReady(vm *VM) error {
-	return errors.Join(c.AwaitReady(vm), c.Faults.Append(Fault{At: time.Now(), VM: vm.ID, Kind: NodeReady}))
-}
-
-// Status queries a node's status, which includes the release that it holds.
-func (c *Cluster) Status(vm *VM) (*statusapi.Status, error) {
-	var s statusapi.Status
-	if err := c.get("http://"+vm.Admin.String()+statusapi.StatusPath, &s); err != nil {
-		return nil, err
-	}
-	return &s, nil
-}
-
-// Stats queries the platform stand-in's counts of reads and watches.
-func (c *Cluster) Stats() (platform.Stats, error) {
-	var s platform.Stats
-	err := c.get(c.platformURL()+"/admin/stats", &s)
-	return s, err
-}
-
-// AwaitIdleStats waits until the platform stand-in had no read for a second, and returns
-// its counts.
-func (c *Cluster) AwaitIdleStats() (platform.Stats, error) {
-	var idle platform.Stats
-	err := Eventually("a second without reads", func() error {
-		s, err := c.Stats()
-		if err == nil && s.ReadsLastSecond > 0 {
-			err = fmt.Errorf("%d reads in the last second", s.ReadsLastSecond)
-		}
-		idle = s
-		return err
-	})
-	return idle, err
-}
-
-// SetMode sets the platform stand-in's mode, for example down or stale.
-func (c *Cluster) SetMode(mode platform.Mode) error {
-	return c.put("/admin/mode/"+string(mode), nil)
-}
-
-// ResetPeaks resets the peak values in the platform stand-in's counts.
-func (c *Cluster) ResetPeaks() error {
-	return c.send(http.MethodPost, "/admin/stats/reset", nil)
-}
-
-// MarkLeaving sets or clears a VM's leaving mark and publishes the list of VMs.
-func (c *Cluster) MarkLeaving(vm *VM, leaving bool) error {
-	vm.Leaving = leaving
-	return c.publishVMs()
-}
-
-func (c *Cluster) publishVMs() error {
-	list := &vmlist.List{}
-	for _, vm := range c.VMs {
-		list.VMs = append(list.VMs, vm.VM)
-	}
-	data, err := list.Encode()
-	if err != nil {
-		return err
-	}
-	return c.put("/admin/kv/"+release.VMListKey, data)
-}
-
-func (c *Cluster) put(path string, body []byte) error {
-	return c.send(http.MethodPut, path, body)
-}
-
-func (c *Cluster) send(method, path string, body []byte) error {
-	req, err := http.NewRequest(method, c.platformURL()+path, strings.NewReader(string(body)))
-	if err != nil {
-		return err
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("%s %s: status %d", method, path, resp.StatusCode)
-	}
-	return nil
-}
-
-func (c *Cluster) get(url string, into any) error {
-	resp, err := c.client.Get(url)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("GET %s: status %d", url, resp.StatusCode)
-	}
-	if into == nil {
-		return nil
-	}
-	return json.NewDecoder(resp.Body).Decode(into)
-}
-
 // Eventually repeats check until it returns nil. After WaitTimeout it returns the last
 // error of check; what describes the condition.
 func Eventually(what string, check func() error) error {
