--- a/e2e/store_test.go
+++ b/e2e/store_test.go
@@ -147,3 +147,27 @@
 		So(lost.Load(), ShouldEqual, 0)
 	})
 }
+
+// Guards against nodes that stay at an old configuration, or go back, when the store comes back from
+// an older copy of itself and gives its revisions out again.
+func TestStoreRestored(t *testing.T) {
+	Convey("Nodes keep the newest configuration and follow the store, one that starts meanwhile included", t, func() {
+		c := startStore(t)
+		backup := c.Store.Backup()
+		c.Store.Publish(5, "/y/", "a", "b")
+		for _, vm := range c.VMs {
+			awaitStatus(c, vm, http.MethodGet, standin.ReadHost, "/y/1", http.StatusOK)
+		}
+		c.Store.Restore(backup)
+		So(c.VMs[2].Node.Kill(), ShouldBeNil)
+		So(c.StartNode(c.VMs[2]), ShouldBeNil)
+		So(c.AwaitReady(c.VMs[2]), ShouldBeNil)
+		awaitStatus(c, c.VMs[0], http.MethodGet, standin.ReadHost, "/y/1", http.StatusOK)
+		awaitStatus(c, c.VMs[1], http.MethodGet, standin.ReadHost, "/x/1", http.StatusNotFound)
+		c.Store.Publish(8, "/z/", "a", "b")
+		for _, vm := range c.VMs {
+			awaitStatus(c, vm, http.MethodGet, standin.ReadHost, "/z/1", http.StatusOK)
+			awaitStatus(c, vm, http.MethodGet, standin.ReadHost, "/y/1", http.StatusNotFound)
+		}
+	})
+}
