Take the heartbeat of the servers from the settings

An entry that is in the store again after it came back from an older copy names no server until the store would have dropped the entry of a silent server. That time was fixed at 6 s, four heartbeats of the deployments known so far; with slower heartbeats the entry of a server that left would have been believed too soon.

Settings, platform and e2e tests of the store pass.

--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -70,6 +70,11 @@
 	// LeaveWithin is the time within which a leaving server must stop receiving calls;
 	// the default is 2 s. The trade-off is that of ApplyWithin.
 	LeaveWithin yamlcheck.Duration `yaml:"leave_within"`
+	// Heartbeat is how often a backend server writes to its entry in a key-value store, which
+	// drops the entry after a few missing ones; the default is 1.5 s. If it is too short, the
+	// entry of a server that left is believed again after the store came back from an older
+	// copy; a longer one delays the use of servers that were only silent.
+	Heartbeat yamlcheck.Duration `yaml:"heartbeat"`
 	// FleetSize is the number of VMs that a node assumes before the VM list is known; the
 	// default is 300. The first reads of nodes that start at the same time are spread
 	// according to it: a larger value delays every start, a smaller one lets a large fleet
@@ -98,7 +103,7 @@
 	for _, d := range []struct {
 		field string
 		value yamlcheck.Duration
-	}{{"apply_within", p.ApplyWithin}, {"leave_within", p.LeaveWithin}} {
+	}{{"apply_within", p.ApplyWithin}, {"leave_within", p.LeaveWithin}, {"heartbeat", p.Heartbeat}} {
 		if d.value <= 0 {
 			problems = append(problems, yamlcheck.Problem{Field: d.field, Found: d.value.String(), Expected: "more than 0s"})
 		}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -102,6 +102,7 @@
 	defaultPlatformWait    = 30 * time.Second
 	defaultApplyWithin     = 2 * time.Second
 	defaultLeaveWithin     = 2 * time.Second
+	defaultHeartbeat       = 1500 * time.Millisecond
 	defaultFleetSize       = 300
 	defaultSampleRatio     = 0.01
 	defaultPeerTLSReload   = 10 * time.Second
@@ -122,6 +123,7 @@
 			FleetSize:   defaultFleetSize,
 			ApplyWithin: yamlcheck.Duration(defaultApplyWithin),
 			LeaveWithin: yamlcheck.Duration(defaultLeaveWithin),
+			Heartbeat:   yamlcheck.Duration(defaultHeartbeat),
 
 			Kind:           SourceService,
 			Reading:        ReadingTree,
--- a/node/store.go
+++ b/node/store.go
@@ -56,12 +56,17 @@
 	return cfg
 }
 
+// withholdHeartbeats is the number of heartbeats after which the store has dropped the entry of a
+// server that is gone: three that are missing, and one for the store's own delay.
+const withholdHeartbeats = 4
+
 // newFollower creates the follower of the key-value store. n.peers must be set before. A change
 // must be active within the shorter one of the two settings apply_within and leave_within.
 func (n *Node) newFollower() {
 	cfg := follow.DefaultConfig()
 	cfg.ReadsPerSecond = n.startSettings.Platform.ReadsPerSecond
 	cfg.ApplyWithin = min(n.startSettings.Platform.ApplyWithin.Std(), n.startSettings.Platform.LeaveWithin.Std())
+	cfg.Replica.WithholdFor = withholdHeartbeats * n.startSettings.Platform.Heartbeat.Std()
 	if n.startSettings.Platform.Reading == settings.ReadingAll {
 		cfg.Reading = follow.ReadByAll
 	}
