--- a/core/source/restore_test.go
+++ b/core/source/restore_test.go
@@ -31,8 +31,7 @@
 	return r
 }
 
-// Guards against state that goes back, or servers that are dropped, when the store comes back from
-// an older copy.
+// Guards against state that goes back, and servers that are dropped, when the store is restored.
 func TestOlderCopyOfTheStore(t *testing.T) {
 	era2 := func(revision uint64) Position { return Position{Era: 2, Revision: revision} }
 	config := func(era, revision uint64, value string) Item {
@@ -147,8 +146,7 @@
 	return c
 }
 
-// TestRestoresInAnyOrder guards against a configuration that goes back at a node, or is never
-// reached, when the store goes back to older copies while nodes read it and each other.
+// Guards against a configuration that goes back or is missed while nodes read a restored store.
 func TestRestoresInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &storeModel{at: Position{Era: 1, Revision: 1}, items: make(map[string]Item)}
--- a/e2e/store_test.go
+++ b/e2e/store_test.go
@@ -148,8 +148,7 @@
 	})
 }
 
-// Guards against nodes that stay at an old configuration, or go back, when the store comes back from
-// an older copy of itself and gives its revisions out again.
+// Guards against nodes that stay at an old configuration, or go back, when the store is restored.
 func TestStoreRestored(t *testing.T) {
 	Convey("Nodes keep the newest configuration and follow the store, one that starts meanwhile included", t, func() {
 		c := startStore(t)
--- a/node/follow/restore_test.go
+++ b/node/follow/restore_test.go
@@ -33,8 +33,7 @@
 	})
 }
 
-// Guards against a configuration that a node never applies, or that goes back, because the store
-// came back from an older copy and gives its revisions out again.
+// Guards against nodes that compare revisions from before and after the store was restored.
 func TestConfigurationMissedAfterTheStoreIsRestored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Changes that are written after the store came back are applied, whatever their revisions", t, func() {
--- a/node/proxy/egress/announce_test.go
+++ b/node/proxy/egress/announce_test.go
@@ -45,8 +45,7 @@
 	return &command.Commander{State: r.egress.State, Log: zerolog.Nop(), Now: time.Now}
 }
 
-// Guards against requests to a backend server that announced that it leaves, while the VM list
-// does not say so or says otherwise.
+// Guards against a VM list that overrules a server's own announcement that it leaves.
 func TestServerGetsRequestsAfterItAnnouncedItsLeaving(t *testing.T) {
 	Convey("Given a server that announces in its response that it leaves", t, func() {
 		list := func(revision uint64, run vmlist.Run) *vmlist.List {
@@ -82,3 +81,43 @@
 		})
 	})
 }
+
+// Guards against an unusable announced rate that lifts the limit or stops all requests.
+func TestUnusableRateIsIgnored(t *testing.T) {
+	Convey("Only a non-negative decimal number is a rate; without a value there is no limit", t, func() {
+		for _, value := range []string{"NaN", "Inf", "-1", "1e999", "ten", "5, 7", " "} {
+			_, valid := parseRate([]byte(value))
+			SoMsg(value, valid, ShouldBeFalse)
+		}
+		for value, want := range map[string]announcedRate{
+			"": {}, "0": {limited: true}, "40.7": {perSecond: 40.7, limited: true}, "1e3": {perSecond: 1000, limited: true},
+		} {
+			rate, valid := parseRate([]byte(value))
+			SoMsg(value, valid, ShouldBeTrue)
+			SoMsg(value, rate, ShouldResemble, want)
+		}
+	})
+	Convey("A response with an unusable rate leaves the limit as it was, a response without one ends it", t, func() {
+		values := []string{"X-Limit: 20\r\n", "X-Limit: many\r\n", ""}
+		sent := 0
+		r := newVMListRig(newRawServer(func(conn net.Conn, br *bufio.Reader, req *http.Request) bool {
+			sent++
+			return announcing(values[sent-1])(conn, br, req)
+		}), nil)
+		defer r.close()
+		for i, limited := range []bool{true, true, false} {
+			r.do(r.callWithID(fmt.Sprint(i)))
+			So(r.egress.announced.Load().rate.limited, ShouldEqual, limited)
+		}
+	})
+	Convey("A limit ends with the run of the server that announced it", t, func() {
+		r := newVMListRig(newRawServer(announcing("X-Limit: 20\r\n")), nil)
+		defer r.close()
+		r.do(r.callWithID("a"))
+		So(r.egress.announced.Load().rate.limited, ShouldBeTrue)
+		vm := vmlist.VM{ID: "tickets-1", Service: "tickets", Instance: "run-8", Slots: 2}
+		r.egress.State.ReplaceVMs(&vmlist.List{Revision: 3, VMs: []vmlist.VM{vm}})
+		r.egress.applyServerLimits()
+		So(r.egress.announced.Load().rate.limited, ShouldBeFalse)
+	})
+}
--- a/node/proxy/ingress/announce_test.go
+++ b/node/proxy/ingress/announce_test.go
@@ -13,8 +13,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Guards against a node that sends requests to a backend server after it passed on a response in
-// which the server announced that it leaves: the server's own node may have forgotten that.
+// Guards against a node that relies on the server's own node, which may restart and forget.
 func TestNodeForgetsThatAServerLeaves(t *testing.T) {
 	Convey("A server that announced that it leaves gets no more requests, whatever its node and the list say later", t, func() {
 		run := vmlist.Run{Instance: "run-1", StartedAtMs: 1000}
--- a/node/transfer/window_test.go
+++ b/node/transfer/window_test.go
@@ -111,8 +111,7 @@
 	})
 }
 
-// Guards against bodies that wait until their deadline on an idle link, because receivers that get
-// little processor time confirm late and that is taken for a slow link.
+// Guards against receivers that confirm late being taken for a slow link.
 func TestLateConfirmationsStarveAFastLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Bodies on a fast link are not delayed by receivers that confirm 100 ms late", t, func() {
