Look at the caller's connection itself before each attempt

Whether a caller left was known only from the goroutine that reads the connection, since pipelined requests came in; the goroutine of the request may run before it. Why the node gets no processor time is not traced: it is open.

Change: Exchange.CallerLeft polls the connection as well, before each attempt, as the code before pipelining did. Costs one system call an attempt.

--- a/node/callerhttp/conn.go
+++ b/node/callerhttp/conn.go
@@ -211,7 +211,7 @@
 // also after an error.
 func (c *conn) readRequest() (*Exchange, error) {
 	c.requests++
-	x := acquireExchange(c.ctx, c.in.last)
+	x := acquireExchange(c)
 	c.setReadDeadline(time.Now().Add(c.server.cfg.ReadTimeout))
 	req := &x.Request
 	if err := req.Header.Read(c.br); err != nil {
--- a/node/callerhttp/exchange.go
+++ b/node/callerhttp/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	Response fasthttp.Response
 
 	ctx     context.Context
+	nc      net.Conn
 	arrived time.Time
 	task    Task
 	// size is the size of the request in bytes.
@@ -28,15 +30,22 @@
 // reason. It may be used from any goroutine.
 func (x *Exchange) Context() context.Context { return x.ctx }
 
+// CallerLeft reports whether the caller has closed its connection. Unlike Context, it also
+// notices this while the reading goroutine has not got to run, for example after the process was
+// short of processor time. It may be called until Run returns.
+func (x *Exchange) CallerLeft() bool {
+	return x.ctx.Err() != nil || closedByRemote(x.nc)
+}
+
 // Arrived returns when the first byte of the request reached this process. If reading had
 // been paused with the bytes already there, it is the beginning of the pause.
 func (x *Exchange) Arrived() time.Time { return x.arrived }
 
 var exchangePool = sync.Pool{New: func() any { return new(Exchange) }}
 
-func acquireExchange(ctx context.Context, arrived time.Time) *Exchange {
+func acquireExchange(c *conn) *Exchange {
 	x := exchangePool.Get().(*Exchange)
-	x.ctx, x.arrived = ctx, arrived
+	x.ctx, x.nc, x.arrived = c.ctx, c.nc, c.in.last
 	x.Response.Header.SetNoDefaultContentType(true)
 	return x
 }
@@ -45,7 +54,7 @@
 func releaseExchange(x *Exchange) {
 	x.Request.Reset()
 	x.Response.Reset()
-	x.ctx, x.task, x.arrived = nil, nil, time.Time{}
+	x.ctx, x.nc, x.task, x.arrived = nil, nil, nil, time.Time{}
 	x.size, x.closes = 0, false
 	x.position = position{}
 	exchangePool.Put(x)
--- a/node/follow/restore_test.go
+++ b/node/follow/restore_test.go
@@ -65,7 +65,29 @@
 	So(r.sequence(), ShouldEqual, 4)
 }
 
-// Guards against the same at nodes that take the changes from others.
+// Guards against a server that left being used again because its entry is in the restored store.
+func TestRemovedServerReturnsWithTheRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("It is not used, unless the store keeps its entry for longer than that of a silent server", t, func() {
+			store, r := startWithOneRelease()
+			defer r.stop()
+			store.put("10.0.0.2", "")
+			restore := store.backup()
+			time.Sleep(time.Second)
+			So(r.vms(), ShouldResemble, []string{"10.0.0.2"})
+			store.remove("10.0.0.2")
+			time.Sleep(time.Second)
+			So(r.vms(), ShouldBeEmpty)
+			restore()
+			time.Sleep(DefaultConfig().Replica.WithholdFor - time.Second)
+			So(r.vms(), ShouldBeEmpty)
+			time.Sleep(2 * time.Second)
+			So(r.vms(), ShouldResemble, []string{"10.0.0.2"})
+		})
+	})
+}
+
+// Guards against nodes that take copies from others and mix revisions of a restored store.
 func TestPeersMissConfigurationAfterTheStoreIsRestored(t *testing.T) {
 	Convey("All nodes apply the changes that are written after the store came back", t, func() {
 		f := newFleet(t, "10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4")
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -135,7 +135,7 @@
 // callerDisconnected reports whether the caller closed its connection, for example while
 // its request waited to be read.
 func (c *call) callerDisconnected() bool {
-	return c.exchange.Context().Err() != nil
+	return c.exchange.CallerLeft()
 }
 
 // recordRetryAfter keeps the shortest time after which a server may accept the request.
