Use the link's rate for the window only, and the measured one for refusals

There nodes of 0.16 of a core go without processor time for 2 to 3 s.

The link's rate had been assumed for refusals as well. But the rate of confirmations also says how fast receivers and the VM's own processor are; calls whose response would come late for such a reason were no longer refused. Now only the window, whose smallness confirmed itself, has a lower bound.

--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -60,8 +60,8 @@
 	Domain  string `yaml:"domain" check:"required"`
 	Region  string `yaml:"region" check:"required"`
 	// LinkMbps is the rate of the VM's network link in megabits per second, 0 if unknown. It
-	// bounds from below the rate that is measured with response bodies, which is too low while
-	// their receivers are busy.
+	// bounds the bytes of response bodies under way from below: the rate that is measured with
+	// them is too low while their receivers are busy.
 	LinkMbps float64 `yaml:"link_mbps"`
 }
 
--- a/node/transfer/window.go
+++ b/node/transfer/window.go
@@ -111,7 +111,6 @@
 	if rate == 0 || w.backlog == 0 {
 		return 0
 	}
-	rate = w.cfg.atLeastLinkShare(rate)
 	return max(ready, transmitTime(w.backlog, rate)) + transmitTime(size, rate)
 }
 
@@ -218,20 +217,15 @@
 	w.rate.markNotFull(now)
 }
 
-// minRateShare is the share of the link's rate that is assumed although a lower one was measured.
-// Confirmations measure the link only as long as the receivers are prompt: if they are late, the
-// window stays full at a low rate, which would make it still smaller.
+// minRateShare is the share of the link's rate for which the window has room although a lower rate
+// was measured. Confirmations measure the link only as long as the receivers are prompt: if they are
+// late, the window is full at a low rate, which would make it still smaller.
 const minRateShare = 0.5
 
-// atLeastLinkShare returns a measured rate, or the share of the link's rate that is assumed if the
-// rate is below.
-func (c *Config) atLeastLinkShare(rate float64) float64 {
-	return max(rate, minRateShare*c.LinkRate)
-}
-
 // size returns the number of bytes that may be in flight. The caller must hold mu.
 func (w *Window) size() int {
-	bytes := w.cfg.atLeastLinkShare(w.rate.bytesPerSecond) * w.cfg.LinkDelay.Seconds()
+	rate := max(w.rate.bytesPerSecond, minRateShare*w.cfg.LinkRate)
+	bytes := rate * w.cfg.LinkDelay.Seconds()
 	return min(max(int(bytes), w.cfg.MinBytes), w.cfg.MaxBytes)
 }
 
