--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -57,6 +57,8 @@
 	pool          *serverPool
 	recentCalls   *seenCalls
 	pauseDetector *admission.PauseDetector
+	// runningRequests are the requests that the server is running.
+	runningRequests *runningRequests
 	// linkWindow limits the bytes of long response bodies in flight on the VM's network
 	// link. responseSizes holds the mean size of buffered responses for each route.
 	linkWindow    *transfer.Window
@@ -85,17 +87,18 @@
 
 func newEgress(st *state.State, addr netip.AddrPort, log zerolog.Logger, cfg Config, now func() time.Time, boot func() time.Duration) *Egress {
 	e := &Egress{
-		State:         st,
-		Log:           log,
-		Now:           now,
-		cfg:           cfg,
-		limiter:       admission.New(cfg.Admission, now()),
-		pool:          newServerPool(addr, cfg.Server, now),
-		recentCalls:   newSeenCalls(cfg.SeenCalls),
-		boot:          boot,
-		linkWindow:    transfer.New(cfg.Transfer),
-		responseSizes: routeResponseSizes{means: make(map[string]float64)},
-		pauseDetector: admission.NewPauseDetector(cfg.Pause, boot()),
+		State:           st,
+		Log:             log,
+		Now:             now,
+		cfg:             cfg,
+		limiter:         admission.New(cfg.Admission, now()),
+		pool:            newServerPool(addr, cfg.Server, now),
+		recentCalls:     newSeenCalls(cfg.SeenCalls),
+		runningRequests: newRunningRequests(),
+		boot:            boot,
+		linkWindow:      transfer.New(cfg.Transfer),
+		responseSizes:   routeResponseSizes{means: make(map[string]float64)},
+		pauseDetector:   admission.NewPauseDetector(cfg.Pause, boot()),
 	}
 	e.announced.Store(&announcements{})
 	e.pool.onRestart = func() { e.limiter.Restart(now()) }
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -77,6 +77,8 @@
 	started time.Time
 	// status is the status code of the server's response, 0 before it.
 	status int
+	// process is the server process that the request is sent to.
+	process processID
 }
 
 // serve runs the call and sends a reply in every case. It returns the verdict.
@@ -139,7 +141,7 @@
 		Int("in_flight", load.InFlight).Int("waiting", load.Queued).Int("limit", load.Limit).
 		Dur("left_ms", x.deadline.Sub(e.Now())).Dur("late_ms", x.transitDelay).
 		Uint64("vm_list", e.State.Fleet().Revision).Dur("vm_list_age_ms", e.State.Fleet().Age(e.Now())).
-		Msg("call ended without a complete response")
+		Stringer("fingerprint", x.fingerprint()).Msg("call ended without a complete response")
 }
 
 // watchStream cancels the call and returns when the caller's node ends the stream. Until
@@ -250,6 +252,7 @@
 	if err != nil {
 		return x.refuse(err)
 	}
+	defer x.egress.runningRequests.remove(x)
 	if conn.err != nil {
 		return x.fail(ctx, conn.serverConn, conn.err)
 	}
@@ -285,6 +288,8 @@
 		x.started = now
 		egressStats.Add("sent", 1)
 		conn.beginRequest(now)
+		x.process = conn.process
+		e.runningRequests.add(x)
 		stop := context.AfterFunc(ctx, func() { x.interrupt(conn, x.call.GetMore()) })
 		err = conn.writeRequest(req)
 		stop()
@@ -292,6 +297,7 @@
 			return sentRequest{serverConn: conn, err: err}, nil
 		}
 		e.pool.discard(conn)
+		e.runningRequests.remove(x)
 		// A streamed body has been consumed and can't be written a second time.
 		if forceDial || x.call.GetMore() || ctx.Err() != nil {
 			return sentRequest{}, newRefusal(peerpb.Refusal_REFUSAL_SERVER_DOWN, "write request to backend server: %v", err)
--- a/node/proxy/egress/reply.go
+++ b/node/proxy/egress/reply.go
@@ -41,6 +41,9 @@
 	} else {
 		x.egress.pool.discard(conn)
 	}
+	if ctx.Err() == nil && connectionBroke(err) {
+		x.checkCrash(ctx)
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		err = fmt.Errorf("%w: %w", errCallerEndedCall, err)
 	}
--- a/node/proxy/egress/server_conn.go
+++ b/node/proxy/egress/server_conn.go
@@ -29,6 +29,8 @@
 	lastUsed time.Time
 	// started is when the current request began.
 	started time.Time
+	// process is the server process at the other end.
+	process processID
 }
 
 func newServerConn(conn net.Conn, now time.Time) *serverConn {
--- a/node/proxy/egress/server_pool.go
+++ b/node/proxy/egress/server_pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -40,6 +41,10 @@
 	keepAliveInterval = time.Second
 )
 
+// processID numbers the processes of the server that this node saw, from 1. A process ends when
+// the server's address refuses a connection; the next one begins with the connection after it.
+type processID uint64
+
 // serverPool is the connection pool of the backend server. Its methods are safe for
 // concurrent use.
 type serverPool struct {
@@ -59,6 +64,10 @@
 	closed bool
 	// down is set while connection attempts fail.
 	down bool
+	// process is the server process that new connections lead to, and gone is set once
+	// the server's address refused a connection to it.
+	process processID
+	gone    bool
 	// replacement is closed when the background dial in progress has ended; nil if there is
 	// none. A call that finds no idle connection waits for it instead of opening another one.
 	replacement chan struct{}
@@ -66,10 +75,11 @@
 
 func newServerPool(addr netip.AddrPort, cfg ServerConfig, now func() time.Time) *serverPool {
 	return &serverPool{
-		addr:  addr.String(),
-		cfg:   cfg,
-		now:   now,
-		limit: 1,
+		addr:    addr.String(),
+		cfg:     cfg,
+		now:     now,
+		limit:   1,
+		process: 1,
 		dialer: net.Dialer{
 			Timeout: cfg.DialTimeout,
 			Control: setUserTimeout(cfg),
@@ -140,13 +150,52 @@
 		return nil, err
 	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.addr)
+	process := p.recordProcess(err)
 	if restarted := p.recordDial(err); restarted && p.onRestart != nil {
 		p.onRestart()
 	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDialServer, err)
 	}
-	return newServerConn(conn, p.now()), nil
+	c := newServerConn(conn, p.now())
+	c.process = process
+	return c, nil
+}
+
+// recordProcess records whether the server's address accepted or refused a connection, and
+// returns the process that accepted it.
+func (p *serverPool) recordProcess(err error) processID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p.gone = true
+	case err == nil && p.gone:
+		p.gone = false
+		p.process++
+	}
+	return p.process
+}
+
+// processEnded reports whether a process of the server has ended. If that isn't known, it opens
+// a connection, which is kept for later requests.
+func (p *serverPool) processEnded(ctx context.Context, process processID) bool {
+	if p.knownEnded(process) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	if c, err := p.get(ctx, false); err == nil {
+		p.put(c)
+	}
+	return p.knownEnded(process)
+}
+
+// knownEnded reports whether a process of the server is known to have ended.
+func (p *serverPool) knownEnded(process processID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return process < p.process || p.gone
 }
 
 // recordDial records the result of a connection attempt and reports whether it succeeded
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/quarantine"
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/verdict"
@@ -149,7 +150,8 @@
 // logRetry logs that the call is retried after a.
 func (c *call) logRetry(a *attempt) {
 	c.addFields(c.ingress.Decisions.Warn("request-retried")).Err(a.err).Str("server", a.endpoint.VM).
-		Stringer("verdict", a.verdict()).Dur("left_ms", c.retry.Remaining(time.Now())).Msg("attempt failed; retrying at another server")
+		Stringer("verdict", a.verdict()).Dur("left_ms", c.retry.Remaining(time.Now())).
+		Stringer("fingerprint", c.fingerprint()).Msg("attempt failed; retrying at another server")
 }
 
 // addFields adds the log fields that identify the request and the configuration by which it
@@ -169,6 +171,11 @@
 	return string(c.exchange.Request.Header.Peek(cmp.Or(c.ingress.Headers.RequestID, proxy.RequestIDHeader)))
 }
 
+// fingerprint returns what identifies requests that ask for the same.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	return quarantine.Fingerprint(c.message.GetFingerprint())
+}
+
 // result returns the last attempt if it has a response, otherwise an earlier one that has, and
 // otherwise the error of the last one. a is nil if no attempt was made.
 func (c *call) result(a *attempt, d retry.Decision) (*attempt, error) {
@@ -235,5 +242,12 @@
 		Priority:         string(m.Owner.Priority),
 		Rank:             rank(m),
 		MaxResponseBytes: m.Resource.MaxResponseBytes,
+		Fingerprint:      requestFingerprint(req, caller),
 	}
 }
+
+// requestFingerprint returns what identifies requests that ask for the same.
+func requestFingerprint(req *fasthttp.Request, caller string) uint64 {
+	h := &req.Header
+	return uint64(quarantine.FingerprintOf(caller, string(h.Method()), string(req.URI().Host()), string(h.RequestURI()), req.Body()))
+}
