--- a/e2e/harness/store.go
+++ b/e2e/harness/store.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
+	"time"
 
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/platform/standin"
@@ -35,7 +37,7 @@
 	Node    *Process
 	// Server is the VM's backend server.
 	Server     *standin.Server
-	httpServer *http.Server
+	httpServer atomic.Pointer[http.Server]
 }
 
 // Address returns the VM's address with the given port, as "IP:port".
@@ -99,12 +101,36 @@
 	if err != nil {
 		return err
 	}
-	vm.httpServer = &http.Server{Handler: vm.Server}
-	go func() { _ = vm.httpServer.Serve(l) }()
+	vm.serve(l)
 	c.Store.List(vm.Server, false)
 	return nil
 }
 
+// serve serves the backend server on a listener.
+func (v *StoreVM) serve(l net.Listener) {
+	srv := &http.Server{Handler: v.Server}
+	v.httpServer.Store(srv)
+	go func() { _ = srv.Serve(l) }()
+}
+
+// CrashOnRequest makes a VM's server crash when it runs a request with standin.CrashPath in its
+// path, and start again after downtime.
+func (c *StoreCluster) CrashOnRequest(vm *StoreVM, downtime time.Duration) {
+	vm.Server.Crash = func() {
+		srv := vm.httpServer.Swap(nil)
+		if srv == nil {
+			return
+		}
+		_ = srv.Close()
+		time.Sleep(downtime)
+		l, err := net.Listen("tcp", vm.Server.Address)
+		if err != nil {
+			panic(err)
+		}
+		vm.serve(l)
+	}
+}
+
 // writeSettings renders the deployment's template into the settings file of a VM's node.
 func (c *StoreCluster) writeSettings(vm *StoreVM) error {
 	template, err := os.ReadFile(filepath.Join(c.root, "deploy/node.yaml"))
@@ -212,8 +238,8 @@
 		if vm.Node != nil {
 			_ = vm.Node.Kill()
 		}
-		if vm.httpServer != nil {
-			_ = vm.httpServer.Close()
+		if srv := vm.httpServer.Load(); srv != nil {
+			_ = srv.Close()
 		}
 	}
 	c.Store.Fail(standin.Resets)
--- a/e2e/store_test.go
+++ b/e2e/store_test.go
@@ -21,11 +21,16 @@
 // startStore starts a cluster that reads its configuration from the stand-in of the
 // platform's store, publishes revision 3 and waits until all nodes are ready.
 func startStore(t *testing.T) *harness.StoreCluster {
+	return startStoreOf(t, "a", "a", "b")
+}
+
+// startStoreOf does the same with a VM for each of the given services.
+func startStoreOf(t *testing.T, services ...string) *harness.StoreCluster {
 	dir, err := os.MkdirTemp("", "auburnladder-store-")
 	So(err, ShouldBeNil)
 	absolute, err := filepath.Abs(root)
 	So(err, ShouldBeNil)
-	c, err := harness.StartStore(absolute, binDir, dir, "a", "a", "b")
+	c, err := harness.StartStore(absolute, binDir, dir, services...)
 	t.Cleanup(func() {
 		c.Stop()
 		if t.Failed() {
