Wait for the first call in TestPipelinedCallers before counting calls

Change: wait for that call too, then assert that it is the only one, as before; the channel is closed also if an assertion fails. The check is as strict as before.

--- a/node/proxy/ingress/pipeline_test.go
+++ b/node/proxy/ingress/pipeline_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,10 +58,12 @@
 			_ = st.Send(&peerpb.Reply{Id: call.GetId(), Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Body: []byte(call.GetUri())})
 		})
 		defer f.close()
+		releaseAll := sync.OnceFunc(func() { close(release) })
+		defer releaseAll()
 		conn, next := f.pipe("GET /slow", "GET /second", "GET /third")
 		defer conn.Close()
 		waitFor(t, "three calls", func() bool { return f.totalCalls() == 3 })
-		close(release)
+		releaseAll()
 		for _, want := range []string{"/slow", "/second", "/third"} {
 			status, body := next()
 			So(status, ShouldEqual, 200)
@@ -76,11 +79,13 @@
 			replyOK(l, call, st)
 		})
 		defer f.close()
+		releaseAll := sync.OnceFunc(func() { close(release) })
+		defer releaseAll()
 		conn, next := f.pipe("GET /slow", "POST /book", "GET /third")
 		defer conn.Close()
-		waitFor(t, "two requests behind the first", func() bool { return f.http.Waiting() == 2 })
+		waitFor(t, "two requests behind the first", func() bool { return f.http.Waiting() == 2 && f.totalCalls() > 0 })
 		So(f.totalCalls(), ShouldEqual, 1)
-		close(release)
+		releaseAll()
 		for range 3 {
 			status, _ := next()
 			So(status, ShouldEqual, 200)
@@ -94,11 +99,13 @@
 			replyOK(l, call, st)
 		})
 		defer f.close()
+		releaseAll := sync.OnceFunc(func() { close(release) })
+		defer releaseAll()
 		conn, next := f.pipe("GET /slow", "POST /hasty")
 		defer conn.Close()
 		waitFor(t, "refusal of the booking", func() bool { return f.ingress.Active() == 1 && f.http.Waiting() == 1 })
 		time.Sleep(150 * time.Millisecond)
-		close(release)
+		releaseAll()
 		status, _ := next()
 		So(status, ShouldEqual, 200)
 		status, body := next()
