Quarantine requests that crash the servers that run them, at all nodes

Callers saw two thirds of a class refused for 20 s: one request ended all six servers of its service again and again (35 crashes), as each attempt of a client was a new request to every node.

Change: the requests that a server was running when it ended are charged with its crash (core/quarantine). Three crashes quarantine a request for 10 min: the ingress and the node of each server refuse it at once, 503 as not run if this attempt has not run, with the time left as Retry-After. Others that ran beside it are told from it so: an answer clears the crashes before it, and a suspect does not run beside another suspect; equal ones go to one server, one at a time (core/routing/rendezvous). Records merge in any order, are bounded (1,024) and expire. They reach all nodes by messages to eight random nodes that pass them on, with the next attempt of a request, and by one question a second, which also fills a node that has just started (node/quarantine).

--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -1,4 +1,3 @@
-// Package quarantine identifies the requests that crash backend servers.
 package quarantine
 
 import (
@@ -28,6 +27,17 @@
 	return Fingerprint(max(1, h.Sum64()))
 }
 
+// crashHash returns a hash of one crash of a record, without its time.
+func crashHash(fp Fingerprint, c Crash) uint64 {
+	h := xxhash.New()
+	writeUint(h, uint64(fp))
+	writeUint(h, uint64(c.ID))
+	if c.Cleared {
+		writeUint(h, 1)
+	}
+	return h.Sum64()
+}
+
 // writeUint adds a number to a hash.
 func writeUint(h *xxhash.Digest, n uint64) {
 	var buf [8]byte
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -72,11 +72,14 @@
 	// NoServer means that no other server is available for the call. Call.Next does not
 	// return it; the ingress sets it.
 	NoServer
+	// Quarantined means that servers crashed each time they ran the request. Call.Next does
+	// not return it; the ingress sets it.
+	Quarantined
 )
 
 // String returns the name used in logs, metrics and spans.
 func (r Reason) String() string {
-	names := [...]string{"allowed", "final", "not-idempotent", "no-attempts", "no-time", "no-budget", "no-server"}
+	names := [...]string{"allowed", "final", "not-idempotent", "no-attempts", "no-time", "no-budget", "no-server", "quarantined"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -62,6 +62,21 @@
 	return t.scan(now, rnd, r, tried, exclude)
 }
 
+// Best returns the usable server in r with the highest score, or nil if there is none.
+func (t *Table) Best(now time.Time, r Range, tried []*Endpoint, score func(*Endpoint) uint64) *Endpoint {
+	var best *Endpoint
+	var highest uint64
+	for _, e := range t.Endpoints[r.From:r.To] {
+		if !t.usable(now, e, tried, r.Strict) {
+			continue
+		}
+		if s := score(e); best == nil || s > highest {
+			best, highest = e, s
+		}
+	}
+	return best
+}
+
 // Range selects Endpoints[From:To] of a table.
 type Range struct {
 	From, To int
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"auburnladder.example/node/probe"
 	"auburnladder.example/node/proxy/egress"
 	"auburnladder.example/node/proxy/ingress"
+	"auburnladder.example/node/quarantine"
 	"auburnladder.example/node/query"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
@@ -56,6 +57,8 @@
 	// egress forwards calls of peers to the backend server of this VM.
 	egress *egress.Egress
 	tracer *tracing.Tracer
+	// quarantine holds the records of requests that crash backend servers.
+	quarantine *quarantine.Tracker
 	// decisions logs a line for each decision about a request.
 	decisions *decisions.Log
 	// drainer takes the node out of service; nil if the source is a key-value store.
@@ -96,7 +99,9 @@
 	n.router = ingress.NewRouter(st, cfg.Routing, log)
 	n.router.Journal = querier.Journal
 	querier.Tables = n.router
+	n.quarantine = quarantine.New(quarantine.DefaultConfig(), &trackerPeers{node: n}, log)
 	n.egress = egress.New(st, cfg.Server.Address, n.egressConfig(), log)
+	n.egress.Quarantine = n.quarantine
 	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
 	if err != nil {
 		return nil, err
@@ -173,10 +178,10 @@
 	return h
 }
 
-// ServeStream implements peers.Handler: it serves a peer's request for releases or VM lists, or
-// passes a call to the egress. It runs in one goroutine for each stream.
+// ServeStream implements peers.Handler: it serves a peer's request for releases, VM lists or
+// records of crashes, or passes a call to the egress. It runs in one goroutine for each stream.
 func (n *Node) ServeStream(ctx context.Context, from peers.Peer, req *peerpb.Request, st *session.Stream) {
-	if n.serveSource(from, req, st) {
+	if n.serveSource(from, req, st) || n.quarantine.ServeStream(req, st) {
 		return
 	}
 	if call := req.GetCall(); call != nil {
--- a/node/peers/sessions.go
+++ b/node/peers/sessions.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -111,6 +112,13 @@
 	s.selectCurrent(vm)
 }
 
+// Connected returns the IDs of the VMs to which a session is open.
+func (s *Set) Connected() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.sessions))
+}
+
 // Sessions returns the number of open sessions.
 func (s *Set) Sessions() int {
 	s.mu.Lock()
--- a/node/proxy/egress/check.go
+++ b/node/proxy/egress/check.go
@@ -30,6 +30,9 @@
 // checkCall returns a refusalError if the call may not be sent to the local backend
 // server.
 func (e *Egress) checkCall(x *exchange) error {
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	if e.AdmitByVMList {
 		return e.checkByVMList(x)
 	}
@@ -40,6 +43,15 @@
 	return err
 }
 
+// checkAdmitted checks an admitted call again, because the VM list and the quarantine may have
+// changed while it was queued.
+func (e *Egress) checkAdmitted(x *exchange) error {
+	if e.AdmitByVMList {
+		return e.checkCall(x)
+	}
+	return x.checkQuarantine()
+}
+
 // checkByVMList checks the call against the VM list and sets x.target to the run of the server
 // that the list names now. A server refuses requests that are addressed to
 // another instance.
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -19,6 +20,7 @@
 	"auburnladder.example/node/decisions"
 	"auburnladder.example/node/peers"
 	"auburnladder.example/node/proxy"
+	"auburnladder.example/node/quarantine"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/node/transfer"
@@ -41,6 +43,9 @@
 	// Announcements receives that the backend server announced that it leaves; nil if the
 	// headers name no such announcement.
 	Announcements proxy.AnnouncementRecorder
+	// Quarantine holds the records of requests that crash backend servers. By default they
+	// are known to this node only.
+	Quarantine *quarantine.Tracker
 	// Now returns the current time. Tests replace it.
 	Now func() time.Time
 	// Headers holds the names of the headers that callers and backend servers use.
@@ -59,6 +64,8 @@
 	pauseDetector *admission.PauseDetector
 	// runningRequests are the requests that the server is running.
 	runningRequests *runningRequests
+	// crashIDBase makes the identities of crashes differ between nodes.
+	crashIDBase uint64
 	// linkWindow limits the bytes of long response bodies in flight on the VM's network
 	// link. responseSizes holds the mean size of buffered responses for each route.
 	linkWindow    *transfer.Window
@@ -93,6 +100,8 @@
 		cfg:             cfg,
 		limiter:         admission.New(cfg.Admission, now()),
 		pool:            newServerPool(addr, cfg.Server, now),
+		Quarantine:      quarantine.New(quarantine.DefaultConfig(), nil, log),
+		crashIDBase:     rand.Uint64(),
 		recentCalls:     newSeenCalls(cfg.SeenCalls),
 		runningRequests: newRunningRequests(),
 		boot:            boot,
@@ -101,6 +110,7 @@
 		pauseDetector:   admission.NewPauseDetector(cfg.Pause, boot()),
 	}
 	e.announced.Store(&announcements{})
+	e.pool.onEnd = e.recordServerEnd
 	e.pool.onRestart = func() { e.limiter.Restart(now()) }
 	return e
 }
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -84,6 +84,7 @@
 // serve runs the call and sends a reply in every case. It returns the verdict.
 func (x *exchange) serve(ctx context.Context) (verdict.Verdict, error) {
 	e := x.egress
+	e.Quarantine.Merge(x.call.GetCrashes())
 	if err := e.checkCall(x); err != nil {
 		return x.refuse(err)
 	}
@@ -102,12 +103,9 @@
 	if err := x.admit(ctx); err != nil {
 		return x.refuse(err)
 	}
-	if e.AdmitByVMList {
-		// The VM list may have changed while the call was queued.
-		if err := e.checkCall(x); err != nil {
-			x.releaseSlot(admission.Result{Unmeasured: true})
-			return x.refuse(err)
-		}
+	if err := e.checkAdmitted(x); err != nil {
+		x.releaseSlot(admission.Result{Unmeasured: true})
+		return x.refuse(err)
 	}
 	x.reserveLink()
 	defer x.endTransfer()
@@ -285,11 +283,14 @@
 			e.pool.put(conn)
 			return sentRequest{}, newRefusal(peerpb.Refusal_REFUSAL_DEADLINE, "call not sent: its deadline passed, it was cancelled or this node was paused")
 		}
+		x.process = conn.process
+		if err := e.runningRequests.add(x); err != nil {
+			e.pool.put(conn)
+			return sentRequest{}, err
+		}
 		x.started = now
 		egressStats.Add("sent", 1)
 		conn.beginRequest(now)
-		x.process = conn.process
-		e.runningRequests.add(x)
 		stop := context.AfterFunc(ctx, func() { x.interrupt(conn, x.call.GetMore()) })
 		err = conn.writeRequest(req)
 		stop()
--- a/node/proxy/egress/reply.go
+++ b/node/proxy/egress/reply.go
@@ -41,9 +41,7 @@
 	} else {
 		x.egress.pool.discard(conn)
 	}
-	if ctx.Err() == nil && connectionBroke(err) {
-		x.checkCrash(ctx)
-	}
+	x.recordUnanswered(ctx, err)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		err = fmt.Errorf("%w: %w", errCallerEndedCall, err)
 	}
@@ -54,7 +52,11 @@
 	if x.replySent {
 		return verdict.Ran, x.abort(err)
 	}
-	x.sendReply(&peerpb.Reply{Verdict: peerpb.Verdict_VERDICT_MAY_HAVE_RUN, Detail: "backend server: " + err.Error()})
+	x.sendReply(&peerpb.Reply{
+		Verdict: peerpb.Verdict_VERDICT_MAY_HAVE_RUN,
+		Detail:  "backend server: " + err.Error(),
+		Crashes: x.egress.Quarantine.Records(x.egress.runningRequests.beside(x)),
+	})
 	return verdict.MayHaveRun, err
 }
 
--- a/node/proxy/egress/response.go
+++ b/node/proxy/egress/response.go
@@ -165,6 +165,7 @@
 	reusable := stop() && !resp.ConnectionClose() && !x.closeDelimited
 	_ = resp.CloseBodyStream()
 	x.releaseSlot(x.admissionResult(resp.StatusCode()))
+	x.egress.Quarantine.RecordAnswer(x.fingerprint())
 	if reusable && conn.br.Buffered() == 0 {
 		x.egress.pool.put(conn)
 		return
--- a/node/proxy/egress/server_pool.go
+++ b/node/proxy/egress/server_pool.go
@@ -33,6 +33,9 @@
 	return ServerConfig{DialTimeout: time.Second, IdleTimeout: 15 * time.Second, UserTimeout: 4 * time.Second}
 }
 
+// probeTimeout limits the connection attempt that finds out whether the server has ended.
+const probeTimeout = 250 * time.Millisecond
+
 var (
 	errPoolClosed     = errors.New("connection pool of the backend server is closed")
 	errTooManyConns   = errors.New("all connections to the backend server are in use")
@@ -56,6 +59,16 @@
 	// onRestart is called when a connection attempt succeeds after a failed one. May be
 	// nil.
 	onRestart func()
+	// onEnd is called when the server's address refuses a connection for the first time
+	// since the given process accepted one. May be nil.
+	onEnd func(processID)
+
+	// endMu guards process and gone, and is held while onEnd runs.
+	endMu sync.Mutex
+	// process is the latest process of the server, and gone is set once the server's address
+	// refused a connection to it.
+	process processID
+	gone    bool
 
 	mu     sync.Mutex
 	idle   []*serverConn
@@ -64,10 +77,6 @@
 	closed bool
 	// down is set while connection attempts fail.
 	down bool
-	// process is the server process that new connections lead to, and gone is set once
-	// the server's address refused a connection to it.
-	process processID
-	gone    bool
 	// replacement is closed when the background dial in progress has ended; nil if there is
 	// none. A call that finds no idle connection waits for it instead of opening another one.
 	replacement chan struct{}
@@ -163,13 +172,17 @@
 }
 
 // recordProcess records whether the server's address accepted or refused a connection, and
-// returns the process that accepted it.
+// returns the latest process of the server. It calls onEnd if that has just turned out to have
+// ended.
 func (p *serverPool) recordProcess(err error) processID {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	p.endMu.Lock()
+	defer p.endMu.Unlock()
+	switch refused := errors.Is(err, syscall.ECONNREFUSED); {
+	case refused && !p.gone:
 		p.gone = true
+		if p.onEnd != nil {
+			p.onEnd(p.process)
+		}
 	case err == nil && p.gone:
 		p.gone = false
 		p.process++
@@ -177,25 +190,25 @@
 	return p.process
 }
 
-// processEnded reports whether a process of the server has ended. If that isn't known, it opens
-// a connection, which is kept for later requests.
-func (p *serverPool) processEnded(ctx context.Context, process processID) bool {
-	if p.knownEnded(process) {
-		return true
+// probe finds out whether the latest process of the server has ended. It opens a connection if
+// no idle one is alive, and keeps it for later requests.
+func (p *serverPool) probe(ctx context.Context) {
+	if p.ended() {
+		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if c, err := p.get(ctx, false); err == nil {
 		p.put(c)
 	}
-	return p.knownEnded(process)
 }
 
-// knownEnded reports whether a process of the server is known to have ended.
-func (p *serverPool) knownEnded(process processID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return process < p.process || p.gone
+// ended reports whether the latest process of the server is known to have ended. Then onEnd has
+// returned.
+func (p *serverPool) ended() bool {
+	p.endMu.Lock()
+	defer p.endMu.Unlock()
+	return p.gone
 }
 
 // recordDial records the result of a connection attempt and reports whether it succeeded
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -134,9 +134,19 @@
 		metrics.mismatched.Add(1)
 		return errMismatchedResponse
 	}
+	a.recordCrashes()
 	return nil
 }
 
+// recordCrashes records what the reply says about a crash of the server, and passes it on with
+// the next attempt: the next server's node may otherwise run two suspects beside each other.
+func (a *attempt) recordCrashes() {
+	if crashes := a.reply.GetCrashes(); len(crashes) > 0 {
+		a.call.ingress.Quarantine.Merge(crashes)
+		a.call.message.Crashes = crashes
+	}
+}
+
 // sendCall sends the call. A body above maxInlineBody follows in parts.
 func (a *attempt) sendCall(req *peerpb.Request) error {
 	msg := req.GetCall()
@@ -246,6 +256,9 @@
 		a.outcome.Kind = routing.Unreachable
 	case peerpb.Refusal_REFUSAL_SHED:
 		a.outcome.Kind = routing.Shed
+	case peerpb.Refusal_REFUSAL_QUARANTINED, peerpb.Refusal_REFUSAL_ISOLATED, peerpb.Refusal_REFUSAL_REPEATED:
+		a.outcome.Kind = routing.Cancelled
+		a.call.recordRetryAfter(a.outcome.RetryAfter)
 	case peerpb.Refusal_REFUSAL_DUPLICATE:
 		v = verdict.MayHaveRun
 	}
@@ -270,7 +283,13 @@
 	if !errors.As(a.err, &refused) {
 		return false
 	}
-	return refused.refusal == peerpb.Refusal_REFUSAL_FORBIDDEN || refused.refusal == peerpb.Refusal_REFUSAL_BAD_REQUEST
+	switch refused.refusal {
+	case peerpb.Refusal_REFUSAL_FORBIDDEN, peerpb.Refusal_REFUSAL_BAD_REQUEST,
+		peerpb.Refusal_REFUSAL_QUARANTINED, peerpb.Refusal_REFUSAL_REPEATED:
+		return true
+	default:
+		return false
+	}
 }
 
 // finish closes the stream and records the outcome with the endpoint. Closing this side of
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -11,6 +11,7 @@
 	"auburnladder.example/core/quarantine"
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
+	"auburnladder.example/core/routing/rendezvous"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/node/callerhttp"
 	"auburnladder.example/node/proxy"
@@ -23,6 +24,8 @@
 var (
 	// errNoServer reports that the service has no backend server that can be tried.
 	errNoServer = errors.New("no backend server available")
+	// errQuarantined reports that servers crashed each time they ran the request.
+	errQuarantined = errors.New("backend servers crashed each time they ran this request")
 	// errMismatchedResponse reports a response that belongs to another request.
 	errMismatchedResponse = errors.New("answer to another request")
 	// errCallerDisconnected reports that the caller closed its connection.
@@ -86,7 +89,10 @@
 	}
 	var last *attempt
 	for {
-		picked := c.ingress.Router.Picker.Pick(time.Now(), randomSource{}, table, c.tried)
+		if c.quarantined() {
+			return c.result(last, retry.Decision{Reason: retry.Quarantined})
+		}
+		picked := c.picker().Pick(time.Now(), randomSource{}, table, c.tried)
 		if picked.Endpoint == nil {
 			c.recordRetryAfter(picked.Wait)
 			return c.result(last, retry.Decision{Reason: retry.NoServer})
@@ -113,6 +119,27 @@
 	}
 }
 
+// quarantined reports whether the request must not be sent to a server. It then sets
+// retryAfter to the time that this will last.
+func (c *call) quarantined() bool {
+	state, left := c.ingress.Quarantine.State(c.fingerprint())
+	if state != quarantine.Quarantined {
+		return false
+	}
+	metrics.quarantined.Add(1)
+	c.retryAfter = left
+	return true
+}
+
+// picker returns the policy that picks the server of the next attempt. All nodes pick the same
+// server for a suspect, so that equal ones do not crash several servers at a time.
+func (c *call) picker() routing.Picker {
+	if state, _ := c.ingress.Quarantine.State(c.fingerprint()); state == quarantine.Suspect {
+		return rendezvous.Picker{Key: uint64(c.fingerprint())}
+	}
+	return c.ingress.Router.Picker
+}
+
 // keepAnswer keeps the response of an attempt that is retried, if it is held completely.
 func (c *call) keepAnswer(a *attempt) {
 	if a.err == nil && !a.reply.GetMore() {
@@ -179,6 +206,9 @@
 // result returns the last attempt if it has a response, otherwise an earlier one that has, and
 // otherwise the error of the last one. a is nil if no attempt was made.
 func (c *call) result(a *attempt, d retry.Decision) (*attempt, error) {
+	if a == nil && d.Reason == retry.Quarantined {
+		return nil, verdict.Wrap(verdict.NotRun, errQuarantined)
+	}
 	if a == nil {
 		return nil, verdict.Wrap(verdict.NotRun, errNoServer)
 	}
--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -18,6 +18,7 @@
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/callerhttp"
+	"auburnladder.example/node/quarantine"
 	"auburnladder.example/node/settings"
 	"auburnladder.example/node/state"
 	"auburnladder.example/wire/peerpb"
@@ -177,6 +178,7 @@
 	router := NewRouter(st, settings.Default().Routing, zerolog.Nop())
 	router.Refresh(time.Now())
 	f.ingress = &Ingress{State: st, Sessions: f, Router: router, Caller: mesh.PublicCaller, Log: zerolog.Nop()}
+	f.ingress.Quarantine = quarantine.New(quarantine.DefaultConfig(), nil, zerolog.Nop())
 	f.listen()
 	return f
 }
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"auburnladder.example/node/decisions"
 	nodemetrics "auburnladder.example/node/metrics"
 	"auburnladder.example/node/proxy"
+	"auburnladder.example/node/quarantine"
 	"auburnladder.example/node/state"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/session"
@@ -49,6 +50,8 @@
 	// Announcements receives what backend servers announced to their nodes; nil if the
 	// headers name no announcements.
 	Announcements proxy.AnnouncementRecorder
+	// Quarantine holds the records of requests that crash backend servers.
+	Quarantine *quarantine.Tracker
 	// OnServerError is called after each response with a status of 500 or above; may be nil.
 	OnServerError func()
 	Tracer        *tracing.Tracer
--- a/node/proxy/ingress/metrics.go
+++ b/node/proxy/ingress/metrics.go
@@ -27,6 +27,9 @@
 	ejected, ejectionsSkipped expvar.Int
 	// callerDisconnected counts callers that disconnected before their response.
 	callerDisconnected expvar.Int
+	// quarantined counts calls that were ended because servers crashed each time they ran
+	// the request.
+	quarantined expvar.Int
 }
 
 // newCallMetrics returns counters that are registered with expvar.
@@ -46,5 +49,6 @@
 	vars.Set("ejected", &m.ejected)
 	vars.Set("ejections_spared", &m.ejectionsSkipped)
 	vars.Set("caller_gone", &m.callerDisconnected)
+	vars.Set("quarantined", &m.quarantined)
 	return m
 }
--- /dev/null
+++ b/node/quarantine/quarantine_test.go
@@ -0,0 +1,178 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"auburnladder.example/core/quarantine"
+	"auburnladder.example/core/steady"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+)
+
+// testTimeout limits the wait for an event that must happen. It is no performance requirement.
+const testTimeout = 20 * time.Second
+
+var errStopped = errors.New("network is stopped")
+
+// network connects trackers by in-memory sessions. It implements Peers for each of them.
+type network struct {
+	mu       sync.Mutex
+	trackers map[string]*Tracker
+	sessions []*session.Session
+	// stopped is set once no session may be opened.
+	stopped bool
+	tasks   conc.WaitGroup
+}
+
+// member is one tracker's view of the network.
+type member struct {
+	network *network
+	vm      string
+	// connected is what Connected returns.
+	connected []string
+}
+
+func (m *member) Get(_ context.Context, vm string, _ netip.AddrPort) (*session.Session, error) {
+	return m.network.connect(vm)
+}
+
+func (m *member) Connected() []string { return append([]string(nil), m.connected...) }
+
+func (m *member) Others() []vmlist.VM {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	var others []vmlist.VM
+	for vm := range m.network.trackers {
+		if vm != m.vm {
+			others = append(others, vmlist.VM{ID: vm})
+		}
+	}
+	return others
+}
+
+// add starts a tracker.
+func (n *network) add(ctx context.Context, vm string, cfg Config, connected ...string) *Tracker {
+	t := newTracker(cfg, &member{network: n, vm: vm, connected: connected}, steady.Boot, zerolog.Nop())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.trackers == nil {
+		n.trackers = make(map[string]*Tracker)
+	}
+	n.trackers[vm] = t
+	n.tasks.Go(func() { t.Run(ctx) })
+	return t
+}
+
+// connect returns a new session to a tracker.
+func (n *network) connect(vm string) (*session.Session, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopped {
+		return nil, errStopped
+	}
+	near, far := net.Pipe()
+	client, err := session.Client(near, session.DefaultConfig())
+	if err != nil {
+		return nil, err
+	}
+	server, err := session.Server(far, session.DefaultConfig())
+	if err != nil {
+		return nil, err
+	}
+	n.sessions = append(n.sessions, client, server)
+	t := n.trackers[vm]
+	n.tasks.Go(func() { serve(t, server) })
+	return client, nil
+}
+
+func serve(t *Tracker, server *session.Session) {
+	for {
+		st, err := server.Accept()
+		if err != nil {
+			return
+		}
+		var req peerpb.Request
+		if st.Recv(&req) == nil {
+			t.ServeStream(&req, st)
+		}
+		st.Close()
+	}
+}
+
+// stop ends the trackers and their sessions.
+func (n *network) stop(cancel context.CancelFunc) {
+	cancel()
+	n.mu.Lock()
+	n.stopped = true
+	for _, s := range n.sessions {
+		s.Close()
+	}
+	n.mu.Unlock()
+	n.tasks.Wait()
+}
+
+// await waits until the request has the state at all trackers.
+func await(trackers []*Tracker, fp quarantine.Fingerprint, want quarantine.State) {
+	end := time.Now().Add(testTimeout)
+	for _, t := range trackers {
+		state, _ := t.State(fp)
+		for ; state != want && time.Now().Before(end); state, _ = t.State(fp) {
+			time.Sleep(time.Millisecond)
+		}
+		So(state, ShouldEqual, want)
+	}
+}
+
+// Guards against a node that sends a request to servers although other nodes know that it crashes them.
+func TestRecordsReachAllNodes(t *testing.T) {
+	const cause = quarantine.Fingerprint(7)
+	slowPull := DefaultConfig()
+	slowPull.PullInterval = time.Hour
+	slowPull.Fanout = 3
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
+	Convey("Crashes that three nodes saw reach all nodes without being asked for, and so does an answer", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := &network{}
+		var trackers []*Tracker
+		for i, name := range names {
+			// Each node is connected to the next ones in a ring only.
+			next := []string{names[(i+1)%len(names)], names[(i+2)%len(names)], names[(i+5)%len(names)]}
+			trackers = append(trackers, n.add(ctx, name, slowPull, next...))
+		}
+		for i := range 3 {
+			trackers[i*4].RecordCrash(quarantine.CrashID(i+1), []quarantine.Fingerprint{cause})
+		}
+		await(trackers, cause, quarantine.Quarantined)
+		trackers[2].RecordAnswer(cause)
+		await(trackers, cause, quarantine.Free)
+		n.stop(cancel)
+	})
+	noPush := DefaultConfig()
+	noPush.Fanout = 0
+	noPush.PullInterval = 10 * time.Millisecond
+	Convey("A node that starts later, or to which nothing is sent, asks for the records", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := &network{}
+		first := n.add(ctx, "a", noPush)
+		for i := range 3 {
+			first.RecordCrash(quarantine.CrashID(i+1), []quarantine.Fingerprint{cause})
+		}
+		second := n.add(ctx, "b", noPush)
+		await([]*Tracker{second}, cause, quarantine.Quarantined)
+		state, left := second.State(cause)
+		So(state, ShouldEqual, quarantine.Quarantined)
+		So(left, ShouldBeLessThanOrEqualTo, quarantine.DefaultConfig().TTL)
+		n.stop(cancel)
+	})
+}
--- a/node/run.go
+++ b/node/run.go
@@ -67,6 +67,7 @@
 	tasks.Go(func() { n.router.Run(ctx) })
 	tasks.Go(func() { n.egress.Run(ctx) })
 	tasks.Go(func() { n.decisions.Run(ctx) })
+	tasks.Go(func() { n.quarantine.Run(ctx) })
 	if n.tls != nil {
 		tasks.Go(func() { n.tls.Run(ctx, n.startSettings.PeerTLS.Reload.Std()) })
 	}
@@ -200,6 +201,7 @@
 		Sessions:      n.peers,
 		Router:        n.router,
 		Caller:        caller,
+		Quarantine:    n.quarantine,
 		OnServerError: onFailure,
 		Tracer:        n.tracer,
 		Decisions:     n.decisions,
