Take a refusal without an ID for a request only on a fresh connection

What callers could see: 'not run, try again' for a request that a server had run or was running, if a faulty server wrote an earlier refusal once more on a kept connection without the ID. Cause: matchesRequest took any refusal without an ID for the request that waited. A refusal that repeats an earlier ID was skipped before, too.

Change: a refusal without an ID counts only for the first request of a connection, where no earlier one can be meant; on a kept connection it is skipped like any response to another request, and the response behind it is delivered. If none follows, the request may have run.

--- a/node/proxy/egress/identify.go
+++ b/node/proxy/egress/identify.go
@@ -36,7 +36,7 @@
 		if err := resp.ReadLimitBody(conn.br, 0); err != nil {
 			return err
 		}
-		if x.matchesRequest(resp) {
+		if x.matchesRequest(conn, resp) {
 			x.recordAnnouncements(resp)
 			return x.validateSuccess(resp)
 		}
@@ -52,16 +52,17 @@
 	return errMismatchedResponse
 }
 
-// matchesRequest reports whether the response repeats the request's ID. A response that
-// says that the request was not run may omit the ID.
-func (x *exchange) matchesRequest(resp *fasthttp.Response) bool {
+// matchesRequest reports whether the response repeats the request's ID. A response that says
+// that the request was not run may omit the ID if no earlier request of the connection can be
+// meant.
+func (x *exchange) matchesRequest(conn *serverConn, resp *fasthttp.Response) bool {
 	name := x.egress.Headers.RequestID
 	if name == "" {
 		return true
 	}
 	id := string(resp.Header.Peek(name))
 	if id == "" {
-		return x.notExecuted(resp)
+		return conn.requests == 1 && x.notExecuted(resp)
 	}
 	return id == x.requestID()
 }
--- a/node/proxy/egress/server_conn.go
+++ b/node/proxy/egress/server_conn.go
@@ -29,6 +29,8 @@
 	lastUsed time.Time
 	// started is when the current request began.
 	started time.Time
+	// requests counts the requests that were begun on the connection.
+	requests int
 	// process is the server process at the other end.
 	process processID
 }
@@ -51,6 +53,7 @@
 // beginRequest resets the connection's counters and write buffer for a new request.
 func (c *serverConn) beginRequest(now time.Time) {
 	c.written = 0
+	c.requests++
 	c.started = now
 	c.bw.Reset(c)
 }
