Answer every request that is taken during a stop

What callers saw in a planned stop with a grace period of 3 s: requests that may not be repeated were taken until second 2.8, passed on, and cut without an answer at second 2.7 when the node closed its connections; with a grace period below 2.8 s the node did not start at all. Cause: the time for new requests (stop.unready, 2.8 s) was taken as it stands and did not depend on the grace period. At 6 s and 10 s, as the deployments known here have, 2.9 s and more remained; there, only a server that works that long was cut.

Change: new requests are taken for at most half of the time until the node must have stopped. What is still in flight 0.2 s before the end gets a response that says whether it may have run, also in a stop with the project's own service, where the wait for requests is bounded by 10 s.

--- a/e2e/harness/store.go
+++ b/e2e/harness/store.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -53,6 +54,8 @@
 	storeHTTP *httptest.Server
 	// Extra is appended to settings files that StartNode and RewriteSettings write.
 	Extra string
+	// Grace is the grace period in these files, "6s" by default.
+	Grace string
 }
 
 // StartStore starts a VM with a node and a backend server for each entry of services. The
@@ -95,8 +98,9 @@
 func (c *StoreCluster) startServer(vm *StoreVM, index int) error {
 	vm.Server = &standin.Server{
 		Service: vm.Service, Instance: fmt.Sprintf("i-%d", index), Born: int64(index + 1),
-		Slots: storeSlots, Address: vm.Address(storeServerPort), Work: serviceTime,
+		Slots: storeSlots, Address: vm.Address(storeServerPort),
 	}
+	vm.Server.SetWork(serviceTime)
 	l, err := net.Listen("tcp", vm.Server.Address)
 	if err != nil {
 		return err
@@ -142,7 +146,7 @@
 		Peer: vm.Address(storePeerPort), Caller: vm.Address(storeCallerPort), Admin: vm.Address(storeAdminPort),
 		Server: vm.Address(storeServerPort), Store: c.storeHTTP.Listener.Addr().String(),
 		Seeds:      []string{c.VMs[0].Address(storePeerPort)},
-		RetryRatio: "0.2", RetrySlack: "50", Grace: "6s",
+		RetryRatio: "0.2", RetrySlack: "50", Grace: cmp.Or(c.Grace, "6s"),
 	})
 	return os.WriteFile(c.SettingsFile(vm), []byte(text+c.Extra), 0o600)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,9 @@
 	// ingresses are the request handlers of callerServers.
 	ingresses []*ingress.Ingress
 	router    *ingress.Router
+	// ending ends by endRequests, which ends the requests of callers in flight.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// sockets are the open TCP listeners.
 	sockets []net.Listener
 	// shutdownFuncs close the admin and metrics servers.
@@ -90,6 +93,7 @@
 	commander := &command.Commander{State: st, Log: log, Journal: querier.Journal, Now: time.Now}
 	n := &Node{startSettings: cfg, log: log, state: st, querier: querier, command: commander, store: store}
 	n.current.Store(cfg)
+	n.ending, n.endRequests = context.WithCancel(context.Background())
 	if err = n.newDriver(); err != nil {
 		return nil, err
 	}
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -174,6 +174,8 @@
 		return err
 	case a.watchdog.callerDisconnected.Load():
 		return errCallerDisconnected
+	case a.watchdog.nodeEnding.Load():
+		return errNodeEnding
 	case a.watchdog.unresponsive.Load():
 		return errSessionUnresponsive
 	case !time.Now().Before(a.deadline):
@@ -185,7 +187,7 @@
 
 // failureKind returns the outcome kind of an exchange that failed with err.
 func failureKind(err error) routing.OutcomeKind {
-	if errors.Is(err, errCallerDisconnected) {
+	if errors.Is(err, errCallerDisconnected) || errors.Is(err, errNodeEnding) {
 		return routing.Cancelled
 	}
 	return routing.Failure
@@ -276,7 +278,7 @@
 // isFinal reports whether a retry is pointless: another server would return the same error,
 // or the caller has disconnected.
 func (a *attempt) isFinal() bool {
-	if errors.Is(a.err, errCallerDisconnected) {
+	if errors.Is(a.err, errCallerDisconnected) || errors.Is(a.err, errNodeEnding) {
 		return true
 	}
 	var refused *refusedError
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -30,6 +30,8 @@
 	errMismatchedResponse = errors.New("answer to another request")
 	// errCallerDisconnected reports that the caller closed its connection.
 	errCallerDisconnected = errors.New("caller closed the connection")
+	// errNodeEnding reports that this node is about to exit while the server is at work.
+	errNodeEnding = errors.New("this node ends while the server is at work")
 	// errSessionUnresponsive reports a session whose probe got no ack.
 	errSessionUnresponsive = errors.New("session is silent")
 	// errDeadline reports that the deadline of an attempt has passed.
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -66,6 +66,9 @@
 	// Closed reports whether new requests are refused because the node is about to exit;
 	// nil means never.
 	Closed func() bool
+	// Ending ends when the requests in flight must end because the node is about to exit;
+	// nil means never.
+	Ending context.Context
 	// active is the number of requests in flight.
 	active atomic.Int64
 	// splitCount is the number of requests on split routes; pickTarget derives the target
--- a/node/proxy/ingress/watch.go
+++ b/node/proxy/ingress/watch.go
@@ -21,13 +21,15 @@
 // pastDeadline is a stream deadline that interrupts pending reads and writes at once.
 var pastDeadline = time.Unix(1, 0)
 
-// watchdog interrupts an attempt that waits for its response when the caller disconnects or,
-// for an idempotent request, when the session is unresponsive.
+// watchdog interrupts an attempt that waits for its response when the caller disconnects, when
+// the node is about to exit or, for an idempotent request, when the session is unresponsive.
 type watchdog struct {
 	attempt            *attempt
 	timer              *time.Timer
 	stopWatching       func() bool
+	stopEnding         func() bool
 	callerDisconnected atomic.Bool
+	nodeEnding         atomic.Bool
 	unresponsive       atomic.Bool
 	mu                 sync.Mutex
 	stopped            bool
@@ -39,7 +41,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(probeAfter, w.probe)
-	w.stopWatching = context.AfterFunc(a.call.exchange.Context(), w.interruptDisconnected)
+	w.stopWatching = context.AfterFunc(a.call.exchange.Context(), func() { w.interrupt(&w.callerDisconnected) })
+	if ending := a.call.ingress.Ending; ending != nil {
+		w.stopEnding = context.AfterFunc(ending, func() { w.interrupt(&w.nodeEnding) })
+	}
 	return w
 }
 
@@ -47,20 +52,22 @@
 func (w *watchdog) stop() {
 	w.timer.Stop()
 	w.stopWatching()
+	if w.stopEnding != nil {
+		w.stopEnding()
+	}
 	w.mu.Lock()
 	w.stopped = true
 	w.mu.Unlock()
 }
 
-// interruptDisconnected interrupts the attempt because the caller has disconnected. It runs on
-// a goroutine of its own.
-func (w *watchdog) interruptDisconnected() {
+// interrupt interrupts the attempt for the reason that it sets. It runs on a goroutine of its own.
+func (w *watchdog) interrupt(reason *atomic.Bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
 		return
 	}
-	w.callerDisconnected.Store(true)
+	reason.Store(true)
 	w.attempt.stream.SetDeadline(pastDeadline)
 }
 
@@ -88,13 +95,7 @@
 	if !idempotent {
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped {
-		return
-	}
-	w.unresponsive.Store(true)
-	w.attempt.stream.SetDeadline(pastDeadline)
+	w.interrupt(&w.unresponsive)
 }
 
 // sessionResponds reports whether a probe of the session is acked within probeTimeout. A
--- a/node/run.go
+++ b/node/run.go
@@ -24,6 +24,9 @@
 	// callersTimeout bounds the wait for requests of callers to finish during shutdown, unless
 	// a stopper sets the deadline, and the wait for the trace exporter.
 	callersTimeout = 10 * time.Second
+	// answerMargin is how long before the connections of callers are closed the requests in
+	// flight are ended, so that their callers get a response.
+	answerMargin = 200 * time.Millisecond
 )
 
 // listener is one TCP address that the node listens on.
@@ -127,6 +130,12 @@
 	n.drainer.Signal(ctx, r)
 }
 
+// endRequestsBefore ends the requests of callers that are still in flight shortly before the given
+// time, with a response that says whether they may have run.
+func (n *Node) endRequestsBefore(end time.Time) {
+	time.AfterFunc(time.Until(end)-answerMargin, n.endRequests)
+}
+
 // stopCallers waits for the requests of callers to finish, up to a deadline, and closes
 // their connections.
 func (n *Node) stopCallers() {
@@ -134,6 +143,7 @@
 	if n.store != nil {
 		end = n.stopper.end()
 	}
+	n.endRequestsBefore(end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, srv := range n.callerServers {
@@ -202,6 +212,7 @@
 		Router:        n.router,
 		Caller:        caller,
 		Quarantine:    n.quarantine,
+		Ending:        n.ending,
 		OnServerError: onFailure,
 		Tracer:        n.tracer,
 		Decisions:     n.decisions,
--- a/node/settings/routing.go
+++ b/node/settings/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"auburnladder.example/core/yamlcheck"
 )
@@ -39,13 +40,20 @@
 	Grace yamlcheck.Duration `yaml:"grace"`
 	// Unready is how long the node still accepts new requests while it reports that it is
 	// not ready; the default is 2.8 s. Time beyond what callers need to notice is lost
-	// from Grace.
+	// from Grace. AcceptFor limits it.
 	Unready yamlcheck.Duration `yaml:"unready"`
 }
 
-// Validate checks that Unready is below Grace, so that time remains for requests in flight.
+// AcceptFor returns how long after SIGTERM the node accepts new requests: Unready, but at most
+// half of the time until it must have stopped, so that the other half remains for them to end.
+func (s *Stop) AcceptFor(untilStopped time.Duration) time.Duration {
+	return max(0, min(s.Unready.Std(), untilStopped/2))
+}
+
+// Validate checks that Unready is below Grace, so that time remains for requests in flight. The
+// default is accepted with any Grace.
 func (s *Stop) Validate() []yamlcheck.Problem {
-	if s.Unready < 0 || s.Unready >= s.Grace {
+	if s.Unready < 0 || s.Unready >= s.Grace && s.Unready.Std() != defaultStopUnready {
 		return []yamlcheck.Problem{{Field: "unready", Found: s.Unready.String(), Expected: "0s or more, below grace"}}
 	}
 	return nil
--- a/node/stopper.go
+++ b/node/stopper.go
@@ -25,7 +25,8 @@
 // stopper takes a node out of service if its source is a key-value store; it sends no stop
 // request to the backend server. The node first fails its readiness check while it still
 // serves, then refuses calls of peers, then refuses new requests of callers, and stops once no
-// request is in flight, or at the deadline.
+// request is in flight. Shortly before the deadline it ends the requests that are still in flight
+// with a response that says whether they may have run.
 type stopper struct {
 	node *Node
 	// stopping is set when the stop signal arrives; the readiness check fails from then on.
@@ -50,6 +51,7 @@
 	}
 	end := time.Now().Add(s.node.current.Load().Stop.Grace.Std() - stopMargin)
 	s.deadline.Store(&end)
+	s.node.endRequestsBefore(end)
 	s.node.log.Info().Str("event", "stopping").Msg("stop signal received; readiness check fails from now on, requests are still served")
 	s.signalled <- struct{}{}
 }
@@ -63,7 +65,8 @@
 	case <-s.signalled:
 	}
 	n := s.node
-	unready := n.current.Load().Stop.Unready.Std()
+	stop := n.current.Load().Stop
+	unready := stop.AcceptFor(time.Until(s.end()))
 	servePeersFor := time.Duration(peersShare * float64(unready))
 	if !sleep(ctx, servePeersFor) {
 		return false
