Bound what the quarantine costs: sessions, work for each node, time of isolation

Found in reading. The address of a connected node was not passed on, so that a session that had just ended was dialled without one, and a request of a caller that waited for the same dial would have failed with it. Choosing nodes took work in proportion to all nodes each second; now a sample is taken. Expired records that one node still held made each pull send all records; they are dropped before tables are compared. A suspect that runs for long kept all equal requests of its server out; now only for a second.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -282,8 +282,9 @@
 	return found
 }
 
-// All returns all records.
-func (t *Table) All() []Record {
+// All returns all records that have not expired.
+func (t *Table) All(now time.Duration) []Record {
+	t.expire(now)
 	all := make([]Record, 0, len(t.records))
 	for _, r := range t.records {
 		all = append(all, r.clone())
@@ -321,9 +322,10 @@
 	return v
 }
 
-// Digest returns a hash of all records that does not depend on their order or their times.
-// Two tables with the same records have the same digest.
-func (t *Table) Digest() uint64 {
+// Digest returns a hash of all records that have not expired, which does not depend on their
+// order or their times. Two tables with the same records have the same digest.
+func (t *Table) Digest(now time.Duration) uint64 {
+	t.expire(now)
 	var digest uint64
 	for fp, r := range t.records {
 		for _, c := range r.Crashes {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -41,7 +41,7 @@
 		for id := range quarantine.CrashID(3) {
 			a.Charge(0, id, []quarantine.Fingerprint{beside})
 		}
-		crashes := a.All()
+		crashes := a.All(0)
 		So(state(a, 0, beside), ShouldEqual, quarantine.Quarantined)
 		b.Merge(0, a.Clear(0, beside))
 		b.Merge(0, crashes)
@@ -67,7 +67,7 @@
 		for fp := range quarantine.Fingerprint(20) {
 			table.Charge(time.Second, quarantine.CrashID(100+fp), []quarantine.Fingerprint{100 + fp})
 		}
-		So(len(table.All()), ShouldEqual, 2)
+		So(len(table.All(time.Second)), ShouldEqual, 2)
 		So(state(table, time.Second, cause), ShouldEqual, quarantine.Quarantined)
 	})
 }
@@ -98,18 +98,18 @@
 		end := time.Minute
 		for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(rt, "order") {
 			for _, other := range tables {
-				tables[i].Merge(end, other.All())
-				other.Merge(end, tables[i].All())
+				tables[i].Merge(end, other.All(end))
+				other.Merge(end, tables[i].All(end))
 			}
 		}
 		for _, table := range tables {
-			table.Merge(end, tables[0].All())
-			tables[0].Merge(end, table.All())
+			table.Merge(end, tables[0].All(end))
+			tables[0].Merge(end, table.All(end))
 		}
 		for _, table := range tables {
-			table.Merge(end, tables[0].All())
-			if table.Digest() != tables[0].Digest() || !maps.Equal(table.Restrictions(), tables[0].Restrictions()) {
-				rt.Fatalf("tables differ: %v and %v", table.All(), tables[0].All())
+			table.Merge(end, tables[0].All(end))
+			if table.Digest(end) != tables[0].Digest(end) || !maps.Equal(table.Restrictions(), tables[0].Restrictions()) {
+				rt.Fatalf("tables differ: %v and %v", table.All(end), tables[0].All(end))
 			}
 		}
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -103,7 +103,7 @@
 	n.router = ingress.NewRouter(st, cfg.Routing, log)
 	n.router.Journal = querier.Journal
 	querier.Tables = n.router
-	n.quarantine = quarantine.New(quarantine.DefaultConfig(), &trackerPeers{node: n}, log)
+	n.quarantine = quarantine.New(quarantine.DefaultConfig(), cfg.VM.ID, &trackerPeers{node: n}, log)
 	n.egress = egress.New(st, cfg.Server.Address, n.egressConfig(), log)
 	n.egress.Quarantine = n.quarantine
 	n.tracer, err = tracing.New(context.Background(), cfg.Trace, st.Identity)
--- a/node/peers/sessions.go
+++ b/node/peers/sessions.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -112,11 +111,10 @@
 	s.selectCurrent(vm)
 }
 
-// Connected returns the IDs of the VMs to which a session is open.
-func (s *Set) Connected() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.sessions))
+// Connected reports whether Get has an open session to the VM.
+func (s *Set) Connected(vm string) bool {
+	v, found := s.current.Load(vm)
+	return found && v.(*peerSession).usable()
 }
 
 // Sessions returns the number of open sessions.
--- a/node/proxy/egress/crash.go
+++ b/node/proxy/egress/crash.go
@@ -17,6 +17,9 @@
 	// unansweredWindow is how long a request that ended without a response counts as one that
 	// the server may still be running.
 	unansweredWindow = time.Second
+	// isolationTime is how long a suspect keeps others away. Requests that run longer would
+	// otherwise keep out all equal ones.
+	isolationTime = time.Second
 	// isolationRetryAfter is when a suspect may come back that was refused because the
 	// server was running another one.
 	isolationRetryAfter = 100 * time.Millisecond
@@ -25,8 +28,9 @@
 // runningRequests are the requests that were sent to the server and have no complete response.
 // It is safe for concurrent use.
 type runningRequests struct {
-	mu      sync.Mutex
-	running map[*exchange]struct{}
+	mu sync.Mutex
+	// running holds when each request was sent.
+	running map[*exchange]time.Time
 	// unanswered are requests that ended without a response within the last
 	// unansweredWindow.
 	unanswered []unansweredRequest
@@ -44,28 +48,30 @@
 }
 
 func newRunningRequests() *runningRequests {
-	return &runningRequests{running: make(map[*exchange]struct{})}
+	return &runningRequests{running: make(map[*exchange]time.Time)}
 }
 
 // add records that x is sent to the server. It returns a refusal if x is suspected of crashing
 // servers and the server is running another suspect: if it crashed, it would not be known which
 // one was the cause.
-func (r *runningRequests) add(x *exchange) error {
+func (r *runningRequests) add(now time.Time, x *exchange) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if x.quarantineState() != quarantine.Free {
-		if err := r.checkIsolation(x); err != nil {
+		if err := r.checkIsolation(now, x); err != nil {
 			return err
 		}
 	}
-	r.running[x] = struct{}{}
+	r.running[x] = now
 	return nil
 }
 
-// checkIsolation returns a refusal if the server is running a suspect. It requires mu.
-func (r *runningRequests) checkIsolation(x *exchange) error {
-	for other := range r.running {
+// checkIsolation returns a refusal if the server has begun to run a suspect within the last
+// isolationTime. It requires mu.
+func (r *runningRequests) checkIsolation(now time.Time, x *exchange) error {
+	for other, since := range r.running {
 		switch {
+		case now.Sub(since) >= isolationTime:
 		case other.fingerprint() == x.fingerprint():
 			return isolationRefusal(peerpb.Refusal_REFUSAL_REPEATED)
 		case other.quarantineState() != quarantine.Free:
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -100,7 +100,7 @@
 		cfg:             cfg,
 		limiter:         admission.New(cfg.Admission, now()),
 		pool:            newServerPool(addr, cfg.Server, now),
-		Quarantine:      quarantine.New(quarantine.DefaultConfig(), nil, log),
+		Quarantine:      quarantine.New(quarantine.DefaultConfig(), st.Identity.VM, nil, log),
 		crashIDBase:     rand.Uint64(),
 		recentCalls:     newSeenCalls(cfg.SeenCalls),
 		runningRequests: newRunningRequests(),
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -284,7 +284,7 @@
 			return sentRequest{}, newRefusal(peerpb.Refusal_REFUSAL_DEADLINE, "call not sent: its deadline passed, it was cancelled or this node was paused")
 		}
 		x.process = conn.process
-		if err := e.runningRequests.add(x); err != nil {
+		if err := e.runningRequests.add(now, x); err != nil {
 			e.pool.put(conn)
 			return sentRequest{}, err
 		}
--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -178,7 +178,7 @@
 	router := NewRouter(st, settings.Default().Routing, zerolog.Nop())
 	router.Refresh(time.Now())
 	f.ingress = &Ingress{State: st, Sessions: f, Router: router, Caller: mesh.PublicCaller, Log: zerolog.Nop()}
-	f.ingress.Quarantine = quarantine.New(quarantine.DefaultConfig(), nil, zerolog.Nop())
+	f.ingress.Quarantine = quarantine.New(quarantine.DefaultConfig(), "vm0", nil, zerolog.Nop())
 	f.listen()
 	return f
 }
--- a/node/quarantine/quarantine_test.go
+++ b/node/quarantine/quarantine_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,7 +15,6 @@
 	"github.com/sourcegraph/conc"
 
 	"auburnladder.example/core/quarantine"
-	"auburnladder.example/core/steady"
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
@@ -38,8 +38,7 @@
 // member is one tracker's view of the network.
 type member struct {
 	network *network
-	vm      string
-	// connected is what Connected returns.
+	// connected are the VMs to which a session is open.
 	connected []string
 }
 
@@ -47,23 +46,21 @@
 	return m.network.connect(vm)
 }
 
-func (m *member) Connected() []string { return append([]string(nil), m.connected...) }
+func (m *member) Connected(vm string) bool { return slices.Contains(m.connected, vm) }
 
-func (m *member) Others() []vmlist.VM {
+func (m *member) VMs() []vmlist.VM {
 	m.network.mu.Lock()
 	defer m.network.mu.Unlock()
-	var others []vmlist.VM
+	var all []vmlist.VM
 	for vm := range m.network.trackers {
-		if vm != m.vm {
-			others = append(others, vmlist.VM{ID: vm})
-		}
+		all = append(all, vmlist.VM{ID: vm})
 	}
-	return others
+	return all
 }
 
 // add starts a tracker.
 func (n *network) add(ctx context.Context, vm string, cfg Config, connected ...string) *Tracker {
-	t := newTracker(cfg, &member{network: n, vm: vm, connected: connected}, steady.Boot, zerolog.Nop())
+	t := New(cfg, vm, &member{network: n, connected: connected}, zerolog.Nop())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.trackers == nil {
--- a/node/quarantine/spread.go
+++ b/node/quarantine/spread.go
@@ -20,22 +20,18 @@
 	maxExchanges = 64
 	// startPullInterval is the PullInterval until the first reply.
 	startPullInterval = 100 * time.Millisecond
+	// samplesPerChoice is the number of random draws for each node to choose.
+	samplesPerChoice = 4
 )
 
 // Peers provides sessions to other nodes.
 type Peers interface {
 	// Get returns an open session to the VM, and opens one if there is none.
 	Get(ctx context.Context, vm string, addr netip.AddrPort) (*session.Session, error)
-	// Connected returns the IDs of the VMs to which a session is open.
-	Connected() []string
-	// Others returns all VMs but this one. The caller must not change the slice.
-	Others() []vmlist.VM
-}
-
-// peer is a node that records are exchanged with. The address of a connected one is not needed.
-type peer struct {
-	vm   string
-	addr netip.AddrPort
+	// Connected reports whether a session to the VM is open.
+	Connected(vm string) bool
+	// VMs returns all VMs. The caller must not change the slice.
+	VMs() []vmlist.VM
 }
 
 // Run sends new records to other nodes and asks them for missing ones until ctx ends.
@@ -70,7 +66,7 @@
 		case <-t.wake:
 		}
 		req := t.pushRequest()
-		for _, p := range t.choose(t.cfg.Fanout) {
+		for _, vm := range t.choose(t.cfg.Fanout) {
 			select {
 			case slots <- struct{}{}:
 			default:
@@ -78,7 +74,7 @@
 			}
 			exchanges.Go(func() {
 				defer func() { <-slots }()
-				_, _ = t.exchange(ctx, p, req)
+				_, _ = t.exchange(ctx, vm, req)
 			})
 		}
 		timer := time.NewTimer(t.cfg.PushInterval)
@@ -108,11 +104,11 @@
 		return false
 	}
 	t.mu.Lock()
-	digest := t.table.Digest()
+	digest := t.table.Digest(t.boot())
 	t.mu.Unlock()
 	reply, err := t.exchange(ctx, chosen[0], &peerpb.CrashSync{Pull: true, Digest: digest})
 	if err != nil {
-		t.log.Debug().Err(err).Str("event", "quarantine-pull-failed").Str("peer", chosen[0].vm).Msg("records of crashes could not be got from this node")
+		t.log.Debug().Err(err).Str("event", "quarantine-pull-failed").Str("peer", chosen[0].ID).Msg("records of crashes could not be got from this node")
 		return false
 	}
 	t.Merge(reply.GetRecords())
@@ -120,10 +116,10 @@
 }
 
 // exchange sends a request to a node and returns its reply.
-func (t *Tracker) exchange(ctx context.Context, p peer, req *peerpb.CrashSync) (*peerpb.CrashSync, error) {
+func (t *Tracker) exchange(ctx context.Context, vm *vmlist.VM, req *peerpb.CrashSync) (*peerpb.CrashSync, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	ses, err := t.peers.Get(ctx, p.vm, p.addr)
+	ses, err := t.peers.Get(ctx, vm.ID, vm.Peer)
 	if err != nil {
 		return nil, err
 	}
@@ -132,28 +128,26 @@
 	return reply, err
 }
 
-// choose returns up to n random nodes, connected ones first.
-func (t *Tracker) choose(n int) []peer {
-	connected := t.peers.Connected()
-	rand.Shuffle(len(connected), func(i, j int) { connected[i], connected[j] = connected[j], connected[i] })
-	chosen := make([]peer, 0, n)
-	known := make(map[string]bool, len(connected))
-	for _, vm := range connected {
-		known[vm] = true
-		if len(chosen) < n {
-			chosen = append(chosen, peer{vm: vm})
-		}
-	}
-	others := t.peers.Others()
-	for _, i := range rand.Perm(len(others)) {
-		if len(chosen) == n {
-			break
+// choose returns up to n random nodes. Of a sample it takes those first to which a session is open.
+func (t *Tracker) choose(n int) []*vmlist.VM {
+	all := t.peers.VMs()
+	chosen := make([]*vmlist.VM, 0, n)
+	var unconnected []*vmlist.VM
+	seen := make(map[int]bool, samplesPerChoice*n)
+	for range samplesPerChoice * min(n, len(all)) {
+		i := rand.IntN(len(all))
+		vm := &all[i]
+		if seen[i] || vm.ID == t.vm {
+			continue
 		}
-		if vm := &others[i]; !known[vm.ID] {
-			chosen = append(chosen, peer{vm: vm.ID, addr: vm.Peer})
+		seen[i] = true
+		if !t.peers.Connected(vm.ID) {
+			unconnected = append(unconnected, vm)
+		} else if chosen = append(chosen, vm); len(chosen) == n {
+			return chosen
 		}
 	}
-	return chosen
+	return append(chosen, unconnected[:min(len(unconnected), n-len(chosen))]...)
 }
 
 // ServeStream replies to an exchange of another node. It returns false if req is another
@@ -176,8 +170,9 @@
 func (t *Tracker) reply(req *peerpb.CrashSync) *peerpb.CrashSync {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !req.GetPull() || req.GetDigest() == t.table.Digest() {
+	now := t.boot()
+	if !req.GetPull() || req.GetDigest() == t.table.Digest(now) {
 		return &peerpb.CrashSync{}
 	}
-	return &peerpb.CrashSync{Records: toWire(t.boot(), t.table.All())}
+	return &peerpb.CrashSync{Records: toWire(now, t.table.All(now))}
 }
--- a/node/quarantine/tracker.go
+++ b/node/quarantine/tracker.go
@@ -56,7 +56,9 @@
 
 // Tracker holds the node's records. Its methods are safe for concurrent use.
 type Tracker struct {
-	cfg   Config
+	cfg Config
+	// vm is the ID of this node's VM.
+	vm    string
 	peers Peers
 	log   zerolog.Logger
 	// boot is a clock that also counts while the VM is suspended.
@@ -72,17 +74,15 @@
 	unsent []quarantine.Fingerprint
 }
 
-// New returns a tracker without records. Run must be running for it to spread them.
-func New(cfg Config, peers Peers, log zerolog.Logger) *Tracker {
-	return newTracker(cfg, peers, steady.Boot, log)
-}
-
-func newTracker(cfg Config, peers Peers, boot func() time.Duration, log zerolog.Logger) *Tracker {
+// New returns a tracker without records for the node of a VM. Run must be running for it to
+// spread them.
+func New(cfg Config, vm string, peers Peers, log zerolog.Logger) *Tracker {
 	return &Tracker{
 		cfg:   cfg,
+		vm:    vm,
 		peers: peers,
 		log:   log,
-		boot:  boot,
+		boot:  steady.Boot,
 		wake:  make(chan struct{}, 1),
 		table: quarantine.NewTable(cfg.Table),
 	}
