Soak with overlapping faults; keep the latest crashes of a request; reach all nodes of a small fleet

Kills, planned stops, pauses, SIGHUP, failures of the store, dropped history, new configurations, crashes of servers and requests that crash them come in series and overlap, drawn from the seed, while callers keep their connections; every third seed has planned faults only. It checks whole answers to their own requests, true refusals, at most one run, nothing cut in planned faults, the bound on crashes, and that service returns.

Traced: with Fanout 3 and no asking, messages alone miss a node at times; the design has both. Found on the way: which of more than eight crashes were kept depended on the order of their reports (with a test); in a fleet of up to 32 nodes the sample of nodes to tell left some out by chance.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -38,7 +38,7 @@
 	return Config{Threshold: 3, TTL: 10 * time.Minute, MaxRequests: 1024}
 }
 
-// maxCrashes is the maximum number of crashes in one record.
+// maxCrashes is the maximum number of crashes in one record; the latest ones are kept.
 const maxCrashes = 8
 
 // CrashID identifies one crash of one backend server.
@@ -187,26 +187,29 @@
 		known.Cleared = known.Cleared || c.Cleared
 		return changed
 	}
-	if len(r.Crashes) == maxCrashes && !r.dropCleared() {
-		return false
-	}
 	r.Crashes = append(r.Crashes, c)
-	return true
+	if len(r.Crashes) <= maxCrashes {
+		return true
+	}
+	return r.dropOldest() != c.ID
 }
 
-// dropCleared drops the oldest cleared crash and reports whether there was one.
-func (r *Record) dropCleared() bool {
-	oldest := -1
+// dropOldest drops the oldest crash and returns its identity.
+func (r *Record) dropOldest() CrashID {
+	oldest := 0
 	for i, c := range r.Crashes {
-		if c.Cleared && (oldest < 0 || c.At < r.Crashes[oldest].At) {
+		if c.older(r.Crashes[oldest]) {
 			oldest = i
 		}
 	}
-	if oldest < 0 {
-		return false
-	}
+	id := r.Crashes[oldest].ID
 	r.Crashes = slices.Delete(r.Crashes, oldest, oldest+1)
-	return true
+	return id
+}
+
+// older reports whether c comes before other in an order that is the same at all nodes.
+func (c Crash) older(other Crash) bool {
+	return cmp.Or(cmp.Compare(c.At, other.At), cmp.Compare(c.ID, other.ID)) < 0
 }
 
 // clone returns a copy that shares no memory with r.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,6 +58,19 @@
 		table.Charge(0, 5, []quarantine.Fingerprint{cause, beside})
 		So(state(table, 0, beside), ShouldEqual, quarantine.Free)
 	})
+	Convey("A record keeps the latest crashes, in any order of their reports", t, func() {
+		a, b := quarantine.NewTable(cfg), quarantine.NewTable(cfg)
+		var records []quarantine.Record
+		for id := range quarantine.CrashID(20) {
+			records = append(records, a.Charge(time.Duration(id), id, []quarantine.Fingerprint{cause})...)
+		}
+		slices.Reverse(records)
+		for _, r := range records {
+			b.Merge(time.Second, []quarantine.Record{r})
+		}
+		So(len(a.All(time.Second)[0].Crashes), ShouldEqual, 8)
+		So(b.Digest(time.Second), ShouldEqual, a.Digest(time.Second))
+	})
 	Convey("The table is bounded, and keeps the requests with the most crashes", t, func() {
 		cfg := cfg
 		cfg.MaxRequests = 2
--- /dev/null
+++ b/e2e/harness/soak.go
@@ -0,0 +1,385 @@
+package harness
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"auburnladder.example/platform/standin"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// soakClients is the number of callers at each node.
+	soakClients = 2
+	// soakTimeout is how long a caller waits, longer than a stopping node takes to end.
+	soakTimeout = 10 * time.Second
+	// soakMaxCrashes is the number of requests that may crash a server: three until the nodes
+	// know, and three that were sent meanwhile.
+	soakMaxCrashes = 6
+	// soakDowntime is how long a crashed backend server is away.
+	soakDowntime = 300 * time.Millisecond
+	// soakSettle is the time without unplanned faults after which a planned stop must not
+	// cut a request.
+	soakSettle = 3 * time.Second
+)
+
+// Soak runs a seeded series of overlapping faults against a cluster while callers send requests
+// on kept connections.
+type Soak struct {
+	cluster *StoreCluster
+	seed    uint64
+	// plannedOnly leaves out kills, pauses and crashes, so that no request may be cut.
+	plannedOnly bool
+	started     time.Time
+	// vmBusy is held while a fault of the VM's node lasts, storeBusy while one of the store
+	// does.
+	vmBusy    []sync.Mutex
+	storeBusy sync.Mutex
+
+	mu         sync.Mutex
+	executions map[string]int
+	requests   []soakRequest
+	unplanned  []interval
+	timeline   []string
+	violations []string
+	version    int
+	// away is the number of nodes that do not run, and forgotten is set once none did: what
+	// nodes know of each other's crashes is lost then.
+	away      int
+	forgotten bool
+}
+
+// soakRequest is one request as its caller saw it.
+type soakRequest struct {
+	id         string
+	idempotent bool
+	sent, done time.Time
+	// status is 0 if there was no response.
+	status int
+}
+
+type interval struct{ from, to time.Time }
+
+// NewSoak returns a soak of a cluster that serves reads at a and bookings at b, with revision 3
+// published. A third of the seeds has planned faults only.
+func NewSoak(c *StoreCluster, seed uint64) *Soak {
+	s := &Soak{
+		cluster: c, seed: seed, plannedOnly: seed%3 == 0, started: time.Now(),
+		vmBusy: make([]sync.Mutex, len(c.VMs)), executions: make(map[string]int), version: 3,
+	}
+	for _, vm := range c.VMs {
+		vm.Server.OnRun = s.recordRun
+		c.CrashOnRequest(vm, soakDowntime)
+	}
+	return s
+}
+
+// Run injects faults for the given time, waits until all nodes serve again and returns what
+// broke a rule, and the timeline.
+func (s *Soak) Run(duration time.Duration) (violations, timeline []string) {
+	stop := make(chan struct{})
+	var callers, faults conc.WaitGroup
+	for i := range s.cluster.VMs {
+		for k := range soakClients {
+			callers.Go(func() { s.call(i, k, stop) })
+		}
+	}
+	rnd := rand.New(rand.NewPCG(s.seed, 0))
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		fault, local := s.drawFault(rnd), rand.New(rand.NewPCG(rnd.Uint64(), 0))
+		faults.Go(func() { fault(local) })
+		time.Sleep(time.Duration(100+rnd.IntN(700)) * time.Millisecond)
+	}
+	faults.Wait()
+	close(stop)
+	callers.Wait()
+	s.checkRecovery()
+	s.checkRequests()
+	s.checkCrashes()
+	return s.violations, s.timeline
+}
+
+// Requests returns the number of requests that were sent.
+func (s *Soak) Requests() int { return len(s.requests) }
+
+// drawFault returns a random fault.
+func (s *Soak) drawFault(rnd *rand.Rand) func(*rand.Rand) {
+	planned := []func(*rand.Rand){s.terminate, s.terminate, s.hup, s.failStore, s.publish, s.forget}
+	if s.plannedOnly {
+		return planned[rnd.IntN(len(planned))]
+	}
+	all := append(planned, s.kill, s.kill, s.pause, s.crashServer, s.sendCrashing)
+	return all[rnd.IntN(len(all))]
+}
+
+// onVM runs a fault of a random VM, unless one is in progress there.
+func (s *Soak) onVM(rnd *rand.Rand, name string, unplanned bool, fault func(vm *StoreVM) error) {
+	i := rnd.IntN(len(s.cluster.VMs))
+	if !s.vmBusy[i].TryLock() {
+		return
+	}
+	defer s.vmBusy[i].Unlock()
+	vm := s.cluster.VMs[i]
+	from := s.log("%s %s", name, vm.IP)
+	if err := fault(vm); err != nil {
+		s.violate("%s %s: %v", name, vm.IP, err)
+	}
+	if unplanned {
+		s.mu.Lock()
+		s.unplanned = append(s.unplanned, interval{from, time.Now()})
+		s.mu.Unlock()
+	}
+	s.log("end of %s %s", name, vm.IP)
+}
+
+func (s *Soak) kill(rnd *rand.Rand) {
+	s.onVM(rnd, "kill", true, func(vm *StoreVM) error {
+		s.changeAway(1)
+		defer s.changeAway(-1)
+		if err := vm.Node.Kill(); err != nil {
+			return err
+		}
+		return s.restart(rnd, vm)
+	})
+}
+
+func (s *Soak) terminate(rnd *rand.Rand) {
+	s.onVM(rnd, "terminate", false, func(vm *StoreVM) error {
+		s.changeAway(1)
+		defer s.changeAway(-1)
+		if code, err := vm.Node.Terminate(); err != nil || code != 0 {
+			return errors.Join(err, fmt.Errorf("exit code %d", code))
+		}
+		return s.restart(rnd, vm)
+	})
+}
+
+// changeAway changes the number of nodes that do not run.
+func (s *Soak) changeAway(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away += n
+	s.forgotten = s.forgotten || s.away == len(s.cluster.VMs)
+}
+
+// restart starts the node of a VM after a random time and waits until it is ready.
+func (s *Soak) restart(rnd *rand.Rand, vm *StoreVM) error {
+	time.Sleep(time.Duration(rnd.IntN(500)) * time.Millisecond)
+	if err := s.cluster.StartNode(vm); err != nil {
+		return err
+	}
+	return s.cluster.AwaitReady(vm)
+}
+
+func (s *Soak) pause(rnd *rand.Rand) {
+	s.onVM(rnd, "pause", true, func(vm *StoreVM) error {
+		err := vm.Node.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(100+rnd.IntN(2500)) * time.Millisecond)
+		return errors.Join(err, vm.Node.Signal(syscall.SIGCONT))
+	})
+}
+
+func (s *Soak) hup(rnd *rand.Rand) {
+	s.onVM(rnd, "hup", false, func(vm *StoreVM) error { return vm.Node.Signal(syscall.SIGHUP) })
+}
+
+func (s *Soak) crashServer(rnd *rand.Rand) {
+	s.onVM(rnd, "crash of the server of", true, func(vm *StoreVM) error {
+		vm.Server.Crash()
+		return nil
+	})
+}
+
+// sendCrashing sends a request that crashes the server that runs it.
+func (s *Soak) sendCrashing(rnd *rand.Rand) {
+	vm := s.cluster.VMs[rnd.IntN(len(s.cluster.VMs))]
+	from := s.log("crashing request at %s", vm.IP)
+	// The node may be away. What the caller gets is not checked.
+	for range 1 + rnd.IntN(3) {
+		_, _ = s.cluster.Send(vm, http.MethodGet, standin.ReadHost, "/x/"+standin.CrashPath, fmt.Sprintf("crash-%d", rnd.Uint64()))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unplanned = append(s.unplanned, interval{from, time.Now().Add(soakDowntime)})
+}
+
+func (s *Soak) failStore(rnd *rand.Rand) {
+	if !s.storeBusy.TryLock() {
+		return
+	}
+	defer s.storeBusy.Unlock()
+	kinds := []standin.Failure{standin.Busy, standin.Limited, standin.Resets, standin.Unresponsive}
+	kind := kinds[rnd.IntN(len(kinds))]
+	s.log("failure %d of the store", kind)
+	s.cluster.Store.Fail(kind)
+	time.Sleep(time.Duration(200+rnd.IntN(3000)) * time.Millisecond)
+	s.cluster.Store.Fail(standin.NoFailure)
+	s.log("end of the store's failure")
+}
+
+func (s *Soak) publish(rnd *rand.Rand) {
+	s.mu.Lock()
+	s.version += 1 + rnd.IntN(4)
+	version := s.version
+	s.mu.Unlock()
+	s.log("revision %d", version)
+	s.cluster.Store.Publish(version, "/x/", "a", "b")
+}
+
+func (s *Soak) forget(*rand.Rand) {
+	s.log("history of the store dropped")
+	s.cluster.Store.Forget()
+}
+
+// call sends requests to the node of a VM, on a kept connection as far as the node keeps it.
+func (s *Soak) call(vm, worker int, stop <-chan struct{}) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: soakTimeout}
+	defer client.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		s.send(client, s.cluster.VMs[vm], fmt.Sprintf("s%d-%d-%d", vm, worker, n), n)
+	}
+}
+
+// send sends one request and records what came of it.
+func (s *Soak) send(client *http.Client, vm *StoreVM, id string, n int) {
+	r := soakRequest{id: id, idempotent: n%2 == 0}
+	method, host, path, service := http.MethodPost, standin.BookHost, fmt.Sprintf("/%d", n), "b"
+	if r.idempotent {
+		method, host, path, service = http.MethodGet, standin.ReadHost, fmt.Sprintf("/x/%d", n%20), "a"
+	}
+	req, err := http.NewRequest(method, "http://"+vm.Address(storeCallerPort)+path, nil)
+	if err != nil {
+		s.violate("%s: %v", id, err)
+		return
+	}
+	req.Host = host
+	req.Header.Set(standin.RequestIDHeader, id)
+	req.Header.Set(standin.DeadlineHeader, "3000")
+	r.sent = time.Now()
+	resp, err := client.Do(req)
+	if err == nil {
+		r.status = s.checkResponse(resp, id, standin.Body(service, vm.Service, id))
+	}
+	r.done = time.Now()
+	if r.status == 0 && !refused(err) {
+		s.log("no response to %s: %v", id, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, r)
+}
+
+func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// checkResponse checks a success against the body that the server sent, and returns the status, or
+// 0 if the response is incomplete.
+func (s *Soak) checkResponse(resp *http.Response, id, want string) int {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	var netErr net.Error
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr):
+		return 0
+	case err != nil:
+		s.violate("%s: read body: %v", id, err)
+	case resp.StatusCode == http.StatusOK && (string(body) != want || resp.Header.Get("X-Server-Seal") == ""):
+		s.violate("%s: success with body %q, seal %q", id, body, resp.Header.Get("X-Server-Seal"))
+	}
+	return resp.StatusCode
+}
+
+// checkRecovery waits until every node serves both routes.
+func (s *Soak) checkRecovery() {
+	for _, vm := range s.cluster.VMs {
+		for method, host := range map[string]string{http.MethodGet: standin.ReadHost, http.MethodPost: standin.BookHost} {
+			err := Eventually(vm.IP+" serves "+host, func() error {
+				resp, err := s.cluster.Send(vm, method, host, "/x/1", "recovery")
+				if err == nil && resp.StatusCode != http.StatusOK {
+					err = fmt.Errorf("status %d", resp.StatusCode)
+				}
+				return err
+			})
+			if err != nil {
+				s.violate("recovery: %v", err)
+			}
+		}
+	}
+}
+
+// checkRequests compares what callers got with what the servers ran.
+func (s *Soak) checkRequests() {
+	for _, r := range s.requests {
+		runs := s.executions[r.id]
+		promised := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+		switch {
+		case r.idempotent:
+		case runs > 1:
+			s.violate("%s ran %d times", r.id, runs)
+		case promised && runs > 0:
+			s.violate("%s got %d and ran", r.id, r.status)
+		}
+		if r.status == 0 && runs > 0 && s.calm(r) {
+			s.violate("%s was passed on and cut, sent at %s", r.id, r.sent.Sub(s.started))
+		}
+		if r.status == http.StatusNotFound || r.status == http.StatusForbidden {
+			s.violate("%s got %d", r.id, r.status)
+		}
+	}
+}
+
+// checkCrashes checks that a request that crashes servers was stopped.
+func (s *Soak) checkCrashes() {
+	var crashes int64
+	for _, vm := range s.cluster.VMs {
+		crashes += vm.Server.Crashes.Load()
+	}
+	if crashes > soakMaxCrashes && !s.forgotten {
+		s.violate("%d requests that crash a server reached servers", crashes)
+	}
+}
+
+// calm reports whether no unplanned fault occurred from soakSettle before the request to its end.
+func (s *Soak) calm(r soakRequest) bool {
+	for _, u := range s.unplanned {
+		if r.done.After(u.from) && r.sent.Before(u.to.Add(soakSettle)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Soak) recordRun(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executions[id]++
+}
+
+// log adds a line to the timeline and returns the time.
+func (s *Soak) log(format string, args ...any) time.Time {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timeline = append(s.timeline, fmt.Sprintf("%8.3f s  ", now.Sub(s.started).Seconds())+fmt.Sprintf(format, args...))
+	return now
+}
+
+// violate records a broken rule.
+func (s *Soak) violate(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	s.log("BROKEN: %s", text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violations = append(s.violations, text)
+}
--- a/node/quarantine/spread.go
+++ b/node/quarantine/spread.go
@@ -20,7 +20,7 @@
 	maxExchanges = 64
 	// startPullInterval is the PullInterval until the first reply.
 	startPullInterval = 100 * time.Millisecond
-	// samplesPerChoice is the number of random draws for each node to choose.
+	// samplesPerChoice is the size of the random sample for each node to choose.
 	samplesPerChoice = 4
 )
 
@@ -74,7 +74,10 @@
 			}
 			exchanges.Go(func() {
 				defer func() { <-slots }()
-				_, _ = t.exchange(ctx, vm, req)
+				if _, err := t.exchange(ctx, vm, req); err != nil {
+					t.log.Debug().Err(err).Str("event", "quarantine-push-failed").Str("peer", vm.ID).
+						Msg("records of crashes could not be sent to this node; it asks for them itself")
+				}
 			})
 		}
 		timer := time.NewTimer(t.cfg.PushInterval)
@@ -133,33 +136,46 @@
 	all := t.peers.VMs()
 	chosen := make([]*vmlist.VM, 0, n)
 	var unconnected []*vmlist.VM
-	seen := make(map[int]bool, samplesPerChoice*n)
-	for range samplesPerChoice * min(n, len(all)) {
-		i := rand.IntN(len(all))
-		vm := &all[i]
-		if seen[i] || vm.ID == t.vm {
-			continue
-		}
-		seen[i] = true
-		if !t.peers.Connected(vm.ID) {
+	for _, i := range sample(len(all), samplesPerChoice*n) {
+		switch vm := &all[i]; {
+		case vm.ID == t.vm:
+		case t.peers.Connected(vm.ID):
+			chosen = append(chosen, vm)
+		default:
 			unconnected = append(unconnected, vm)
-		} else if chosen = append(chosen, vm); len(chosen) == n {
-			return chosen
 		}
 	}
-	return append(chosen, unconnected[:min(len(unconnected), n-len(chosen))]...)
+	chosen = append(chosen, unconnected...)
+	return chosen[:min(n, len(chosen))]
+}
+
+// sample returns up to n different random numbers below total, without work in proportion to
+// total.
+func sample(total, n int) []int {
+	if total <= n {
+		return rand.Perm(total)
+	}
+	seen := make(map[int]bool, n)
+	numbers := make([]int, 0, n)
+	for range n {
+		if i := rand.IntN(total); !seen[i] {
+			seen[i] = true
+			numbers = append(numbers, i)
+		}
+	}
+	return numbers
 }
 
 // ServeStream replies to an exchange of another node. It returns false if req is another
 // request.
 func (t *Tracker) ServeStream(req *peerpb.Request, st *session.Stream) bool {
-	sync := req.GetCrashSync()
-	if sync == nil {
+	exchange := req.GetCrashSync()
+	if exchange == nil {
 		return false
 	}
-	t.Merge(sync.GetRecords())
+	t.Merge(exchange.GetRecords())
 	st.SetDeadline(time.Now().Add(exchangeTimeout))
-	if err := st.Send(t.reply(sync)); err != nil {
+	if err := st.Send(t.reply(exchange)); err != nil {
 		t.log.Debug().Err(err).Str("event", "quarantine-reply-lost").Msg("records of crashes could not be sent to a node that asked for them")
 	}
 	return true
