--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -5,8 +5,8 @@
 // nothing. Two rules separate the cause from the requests that ran beside it:
 //
 //   - When a server answers a request, the crashes known until then no longer count against it.
-//   - A suspect does not run beside another suspect, which the node of each server enforces. So
-//     a request runs beside the cause at most once after its first crash.
+//   - A suspect is not started beside another suspect, which the node of each server enforces. So
+//     a request that ran beside the cause once does not do so again.
 //
 // The records of all nodes merge into the same result in any order, and expire.
 package quarantine
