Wait for the restarts of crashed servers when a cluster of the tests stops

Cause: a stand-in server that had crashed shortly before its test ended started again after the cluster was stopped, in the test's own process, and kept its address for the rest of the run. The cluster now waits for such restarts, and none begins afterwards.

--- a/e2e/harness/soak.go
+++ b/e2e/harness/soak.go
@@ -193,6 +193,7 @@
 func (s *Soak) crashServer(rnd *rand.Rand) {
 	s.onVM(rnd, "crash of the server of", true, func(vm *StoreVM) error {
 		vm.Server.Crash()
+		time.Sleep(soakDowntime)
 		return nil
 	})
 }
--- a/e2e/harness/store.go
+++ b/e2e/harness/store.go
@@ -12,11 +12,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"auburnladder.example/core/statusapi"
 	"auburnladder.example/platform/standin"
+	"github.com/sourcegraph/conc"
 )
 
 // Ports of the VMs of a StoreCluster.
@@ -54,6 +56,11 @@
 	root      string
 	bin       string
 	storeHTTP *httptest.Server
+	// restarts are the restarts of crashed backend servers. None begins once stopped is set,
+	// which restartMu guards.
+	restarts  conc.WaitGroup
+	restartMu sync.Mutex
+	stopped   bool
 	// reservation is an open socket in the cluster's network, which marks it as used.
 	reservation net.Listener
 	// Extra is appended to settings files that StartNode and RewriteSettings write.
@@ -130,13 +137,33 @@
 			return
 		}
 		_ = srv.Close()
+		c.restartServer(vm, downtime)
+	}
+}
+
+// restartServer starts a VM's server again after downtime, unless the cluster is stopped.
+func (c *StoreCluster) restartServer(vm *StoreVM, downtime time.Duration) {
+	c.restartMu.Lock()
+	defer c.restartMu.Unlock()
+	if c.stopped {
+		return
+	}
+	c.restarts.Go(func() {
 		time.Sleep(downtime)
 		l, err := net.Listen("tcp", vm.Server.Address)
 		if err != nil {
 			panic(err)
 		}
 		vm.serve(l)
-	}
+	})
+}
+
+// awaitRestarts waits for the restarts of servers; no other one begins afterwards.
+func (c *StoreCluster) awaitRestarts() {
+	c.restartMu.Lock()
+	c.stopped = true
+	c.restartMu.Unlock()
+	c.restarts.Wait()
 }
 
 // writeSettings renders the deployment's template into the settings file of a VM's node.
@@ -246,6 +273,9 @@
 		if vm.Node != nil {
 			_ = vm.Node.Kill()
 		}
+	}
+	c.awaitRestarts()
+	for _, vm := range c.VMs {
 		if srv := vm.httpServer.Load(); srv != nil {
 			_ = srv.Close()
 		}
