Count crashes in one place; start clusters with a grace period in one place

Found in reading the whole change. Before: Table.count and the log line request-quarantined counted a request's crashes in two ways, and the line included crashes that an answer had cleared; two tests of the stop set up their cluster in the same six lines; a receiver was named after a word that the type no longer has. After: Record.Counting, which expects expired crashes to be dropped, as Merge and now Charge do first; startWithGrace. No decision changes: core/quarantine and node/quarantine pass with the race detector.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -92,11 +92,11 @@
 }
 
 // State returns the state at the time now, and for a quarantined request the time left.
-func (v Restriction) State(now time.Duration) (State, time.Duration) {
+func (r Restriction) State(now time.Duration) (State, time.Duration) {
 	switch {
-	case now < v.QuarantinedUntil:
-		return Quarantined, v.QuarantinedUntil - now
-	case now < v.SuspectUntil:
+	case now < r.QuarantinedUntil:
+		return Quarantined, r.QuarantinedUntil - now
+	case now < r.SuspectUntil:
 		return Suspect, 0
 	default:
 		return Free, 0
@@ -119,7 +119,11 @@
 // records of those that are charged with it: the quarantined ones if there are any, as they are
 // known to crash servers, and otherwise all. Requests with the zero fingerprint are ignored.
 func (t *Table) Charge(now time.Duration, id CrashID, running []Fingerprint) []Record {
-	known := func(fp Fingerprint) bool { return t.count(now, fp) >= t.cfg.Threshold }
+	t.expire(now)
+	known := func(fp Fingerprint) bool {
+		r := t.records[fp]
+		return r != nil && r.Counting() >= t.cfg.Threshold
+	}
 	if slices.ContainsFunc(running, known) {
 		running = slices.DeleteFunc(slices.Clone(running), func(fp Fingerprint) bool { return !known(fp) })
 	}
@@ -154,7 +158,7 @@
 			changed = append(changed, t.records[r.Fingerprint].clone())
 		}
 	}
-	t.limit(now)
+	t.limit()
 	return changed
 }
 
@@ -212,26 +216,23 @@
 	return cmp.Or(cmp.Compare(c.At, other.At), cmp.Compare(c.ID, other.ID)) < 0
 }
 
-// clone returns a copy that shares no memory with r.
-func (r *Record) clone() Record {
-	return Record{Fingerprint: r.Fingerprint, Crashes: slices.Clone(r.Crashes)}
-}
-
-// count returns the number of crashes that count against the request.
-func (t *Table) count(now time.Duration, fp Fingerprint) int {
-	r := t.records[fp]
-	if r == nil {
-		return 0
-	}
+// Counting returns the number of crashes that count against the request, as no server has answered
+// it since.
+func (r *Record) Counting() int {
 	count := 0
 	for _, c := range r.Crashes {
-		if !c.Cleared && now < c.At+t.cfg.TTL {
+		if !c.Cleared {
 			count++
 		}
 	}
 	return count
 }
 
+// clone returns a copy that shares no memory with r.
+func (r *Record) clone() Record {
+	return Record{Fingerprint: r.Fingerprint, Crashes: slices.Clone(r.Crashes)}
+}
+
 // expire drops crashes that are older than the TTL, and empty records.
 func (t *Table) expire(now time.Duration) {
 	for fp, r := range t.records {
@@ -244,7 +245,7 @@
 
 // limit drops records beyond MaxRequests: those with the fewest crashes that count, and of
 // these the oldest.
-func (t *Table) limit(now time.Duration) {
+func (t *Table) limit() {
 	excess := len(t.records) - t.cfg.MaxRequests
 	if excess <= 0 {
 		return
@@ -255,7 +256,7 @@
 	}
 	slices.SortFunc(order, func(a, b *Record) int {
 		return cmp.Or(
-			cmp.Compare(t.count(now, a.Fingerprint), t.count(now, b.Fingerprint)),
+			cmp.Compare(a.Counting(), b.Counting()),
 			cmp.Compare(a.newest(), b.newest()),
 			cmp.Compare(a.Fingerprint, b.Fingerprint),
 		)
@@ -299,8 +300,8 @@
 func (t *Table) Restrictions() map[Fingerprint]Restriction {
 	restrictions := make(map[Fingerprint]Restriction, len(t.records))
 	for fp, r := range t.records {
-		if v := t.restriction(r); v != (Restriction{}) {
-			restrictions[fp] = v
+		if until := t.restriction(r); until != (Restriction{}) {
+			restrictions[fp] = until
 		}
 	}
 	return restrictions
@@ -318,11 +319,11 @@
 		return Restriction{}
 	}
 	slices.Sort(ends)
-	v := Restriction{SuspectUntil: ends[len(ends)-1]}
+	until := Restriction{SuspectUntil: ends[len(ends)-1]}
 	if len(ends) >= t.cfg.Threshold {
-		v.QuarantinedUntil = ends[len(ends)-t.cfg.Threshold]
+		until.QuarantinedUntil = ends[len(ends)-t.cfg.Threshold]
 	}
-	return v
+	return until
 }
 
 // Digest returns a hash of all records that have not expired, which does not depend on their
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -16,22 +16,23 @@
 	"auburnladder.example/platform/standin"
 )
 
-// restartWithGrace restarts the node of a VM with another grace period and waits until it serves.
-func restartWithGrace(c *harness.StoreCluster, vm *harness.StoreVM, grace string) {
+// startWithGrace starts a cluster whose first node has another grace period, and waits until it
+// serves.
+func startWithGrace(t *testing.T, grace string) (*harness.StoreCluster, *harness.StoreVM) {
+	c := startStoreOf(t, "a", "a", "b")
+	vm := c.VMs[0]
 	c.Grace = grace
-	So(c.RewriteSettings(vm), ShouldBeNil)
 	So(vm.Node.Kill(), ShouldBeNil)
 	So(c.StartNode(vm), ShouldBeNil)
 	So(c.AwaitReady(vm), ShouldBeNil)
 	awaitStatus(c, vm, http.MethodPost, standin.BookHost, "/1", http.StatusOK)
+	return c, vm
 }
 
 // Guards against a stop that takes requests which it cuts without an answer at the end of its grace period.
 func TestStopAnswersLateRequests(t *testing.T) {
 	Convey("With a short grace period, every request that is taken during the stop gets an answer", t, func() {
-		c := startStoreOf(t, "a", "a", "b")
-		vm := c.VMs[0]
-		restartWithGrace(c, vm, "3s")
+		c, vm := startWithGrace(t, "3s")
 		c.VMs[2].Server.SetWork(400 * time.Millisecond)
 		var stopped atomic.Bool
 		var unanswered, answered atomic.Int64
@@ -61,9 +62,7 @@
 // Guards against a stop that ends requests in flight without telling their callers.
 func TestStopAnswersRequestsInFlight(t *testing.T) {
 	Convey("A request whose server is still at work at the end of the grace period is told that it may have run", t, func() {
-		c := startStoreOf(t, "a", "a", "b")
-		vm := c.VMs[0]
-		restartWithGrace(c, vm, "1500ms")
+		c, vm := startWithGrace(t, "1500ms")
 		c.VMs[2].Server.SetWork(3 * time.Second)
 		runs := c.VMs[2].Server.Runs.Load()
 		var status atomic.Int64
--- a/node/quarantine/tracker.go
+++ b/node/quarantine/tracker.go
@@ -184,7 +184,7 @@
 	state, left := t.State(r.Fingerprint)
 	switch {
 	case state == quarantine.Quarantined && old != quarantine.Quarantined:
-		t.log.Warn().Str("event", "request-quarantined").Stringer("fingerprint", r.Fingerprint).Int("crashes", len(r.Crashes)).
+		t.log.Warn().Str("event", "request-quarantined").Stringer("fingerprint", r.Fingerprint).Int("crashes", r.Counting()).
 			Dur("left_ms", left).Msg("requests that ask for this are refused: servers crashed each time they ran one")
 	case state != quarantine.Quarantined && old == quarantine.Quarantined:
 		t.log.Info().Str("event", "quarantine-lifted").Stringer("fingerprint", r.Fingerprint).
