Review case 1: a configuration that has grown is refused by every node

Rule: CONFIG. A request sent later than configApply after the acknowledgement of a version is handled as only an older version allows.

Seen: each node encodes the routes of a service in the project's own release format and refuses the version if that is above 1 MiB. A valid configuration of 420 kB is so refused, and each later one too.

--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -245,3 +245,19 @@
 	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
 	return lines[len(lines)-1]
 }
+
+// logLine returns the last line of the log of a machine's node that contains a text, "" if there is
+// none.
+func logLine(m *machine, text string) string {
+	data, err := os.ReadFile(m.log.Name())
+	if err != nil {
+		return ""
+	}
+	last := ""
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, text) {
+			last = strings.TrimSpace(line)
+		}
+	}
+	return last
+}
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -122,3 +122,10 @@
 	// A write error means that the node has closed the connection.
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// size returns the length of a value.
+func (s *store) size(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.items[key].Value)
+}
