--- a/review/rig/scenarios.go
+++ b/review/rig/scenarios.go
@@ -6,4 +6,5 @@
 	"twice":   playTwice,
 	"changed": playChanged,
 	"idle":    playIdle,
+	"upload":  playUpload,
 }
