--- a/review/rig/idle.go
+++ b/review/rig/idle.go
@@ -28,6 +28,9 @@
 	if err := startLost(c, 20*time.Millisecond); err != nil {
 		return false, err
 	}
+	if err := requireDescriptors(2 * maxFds); err != nil {
+		return false, err
+	}
 	m := c.machines[0]
 	if err := limitDescriptors(m.node.Process.Pid, maxFds); err != nil {
 		return false, err
--- a/review/rig/watch.go
+++ b/review/rig/watch.go
@@ -52,6 +52,18 @@
 	return nil
 }
 
+// requireDescriptors returns an error if this process may not open n descriptors.
+func requireDescriptors(n uint64) error {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return err
+	}
+	if l.Cur < n {
+		return fmt.Errorf("the clients need %d descriptors, this process may open %d", n, l.Cur)
+	}
+	return nil
+}
+
 // enforceMemory kills the node of a machine whenever it has more memory than limitMB, as the platform
 // does, and starts it again, until stop is closed. It returns how often it did so.
 func (c *cluster) enforceMemory(m *machine, limitMB int, stop chan struct{}) (kills int) {
