--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -16,7 +16,6 @@
 	id     string
 	status int
 	body   string
-	retry  string
 	err    error
 	took   time.Duration
 }
@@ -36,8 +35,7 @@
 }
 
 // send sends one request to a machine's node and reads the whole answer. target is the request
-// target as it goes on the wire. size is the length of the body, -1 for none; chunked sends it
-// without a length.
+// target as it goes on the wire.
 func send(client *http.Client, m *machine, method, host, target string, deadline time.Duration, body io.Reader) (a answer) {
 	a.id = newID()
 	began := time.Now()
@@ -63,7 +61,7 @@
 		a.err = err
 		return a
 	}
-	a.status, a.body, a.retry = resp.StatusCode, string(data), resp.Header.Get("Retry-After")
+	a.status, a.body = resp.StatusCode, string(data)
 	return a
 }
 
--- a/review/rig/idle.go
+++ b/review/rig/idle.go
@@ -79,14 +79,17 @@
 
 // request sends one request on a new connection. It waits stableWindow for the answer at most.
 func (f *freshClients) request() {
+	id := newID()
 	conn, err := dialKept(f.machine)
 	a := answer{err: err}
 	if err == nil {
-		if a.err = conn.writeRequest(http.MethodPost, "/cobro/3", newID(), nil); a.err == nil {
+		if a.err = conn.writeRequest(http.MethodPost, "/cobro/3", id, nil); a.err == nil {
 			_ = conn.SetReadDeadline(time.Now().Add(stableWindow))
 			a, _ = conn.readAnswer()
 		}
 	}
+	a.id = id
+	f.cluster.record.note("client at %s sent POST /cobro/3 on a new connection: %s", f.machine.ip, a)
 	if conn != nil && (a.err != nil || !f.leave) {
 		_ = conn.Close()
 	}
--- a/review/rig/lost.go
+++ b/review/rig/lost.go
@@ -96,8 +96,8 @@
 			a, closes = conn.readAnswer()
 		}
 		a.id = id
+		c.record.note("client at %s sent POST /cobro/1, after %d ms: %s", m.ip, time.Since(began).Milliseconds(), a)
 		if a.err != nil && time.Since(began) < lostDeadline {
-			c.record.note("client at %s, after %d ms: %s", m.ip, time.Since(began).Milliseconds(), a)
 			w.mu.Lock()
 			w.lost[id] = true
 			w.mu.Unlock()
@@ -126,7 +126,6 @@
 
 // startLost starts three machines with servers of one service, whose work takes the given time.
 func startLost(c *cluster, work time.Duration) error {
-	c.record.quiet = true
 	for range 3 {
 		if _, err := c.add("padron-socios", func(b *backend) { b.work = work }); err != nil {
 			return err
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -8,15 +8,9 @@
 	"time"
 )
 
-// event is one request at a server.
+// event is one request that a server began to run.
 type event struct {
-	at      time.Duration
-	id      string
-	server  *backend
-	caller  string
-	method  string
-	uri     string
-	started bool
+	id, method, uri string
 }
 
 // recorder writes record.txt and keeps what the servers saw. It is safe for concurrent use.
@@ -24,10 +18,8 @@
 	mu    sync.Mutex
 	file  *os.File
 	began time.Time
-	// arrivals holds the requests that reached a server, runs those that a server began to run.
-	arrivals, runs []event
-	// quiet leaves the single requests out of the file.
-	quiet bool
+	// runs holds the requests that a server began to run.
+	runs []event
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -52,29 +44,13 @@
 	fmt.Fprintf(r.file, "%9.3f  %s\n", r.now().Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (r *recorder) event(b *backend, req *http.Request) event {
-	return event{
-		at: r.now(), id: req.Header.Get("X-Request-Id"), server: b,
-		caller: req.Header.Get("X-Caller-Service"), method: req.Method, uri: req.RequestURI,
-	}
-}
-
-// arrive records that a request reached a server.
-func (r *recorder) arrive(b *backend, req *http.Request) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, r.event(b, req))
-}
-
 // begin records that a server began to run a request.
 func (r *recorder) begin(b *backend, req *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.event(b, req)
+	e := event{id: req.Header.Get("X-Request-Id"), method: req.Method, uri: req.RequestURI}
 	r.runs = append(r.runs, e)
-	if !r.quiet {
-		r.noteLocked("server %s (%s) runs request %s: %s %s", b.instance, b.service, e.id, e.method, e.uri)
-	}
+	r.noteLocked("server %s (%s) runs request %s: %s %s", b.instance, b.service, e.id, e.method, e.uri)
 }
 
 // countRuns returns how often each request ran.
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -21,8 +21,6 @@
 	slots    int
 	work     time.Duration
 	record   *recorder
-	// rateLimit, if not empty, is sent as Server-Limit in all answers.
-	rateLimit string
 	// loseAnswer, if not nil, says whether the answer to a request that has run is lost.
 	loseAnswer func(r *http.Request) bool
 
@@ -53,15 +51,11 @@
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
 	h.Set("X-Request-Id", id)
-	if b.rateLimit != "" {
-		h.Set("Server-Limit", b.rateLimit)
-	}
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != b.instance {
 		h.Set("X-Instance-Id", b.instance)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	b.record.arrive(b, r)
 	n := b.running.Add(1)
 	defer b.running.Add(-1)
 	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", min(n, int64(b.slots)), b.slots))
