Follow: say how each release came in force, and count copies

The line release-in-force gives, for each release, the way on which it came, its bytes, and wall and processor time of each stage; the map follow of /debug/vars counts whole copies, changes, rounds of requests and the time for encoding and sending. No logic changes.

--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -49,10 +49,12 @@
 			return
 		}
 		st.SetWriteDeadline(time.Now().Add(sendTimeout))
+		began := f.boot()
 		if err := st.Send(c); err != nil {
 			f.log.Debug().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be sent")
 			return
 		}
+		counters.countSent(c, f.boot()-began)
 		if !follow {
 			return
 		}
@@ -105,9 +107,11 @@
 	if patch {
 		old = f.releases.at(after)
 	}
+	began := f.boot()
 	if data, err = encodeChanges(f.replica.Since(after), old); err != nil {
 		return 0, nil, err
 	}
+	counters.encodeMicros.Add((f.boot() - began).Microseconds())
 	f.encoded.add(key, data)
 	return after.Revision, data, nil
 }
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	// encoded and releases serve to encode changes for other nodes.
 	encoded  encodedChanges
 	releases releaseHistory
+	// arrival is how the release item of the replica came.
+	arrival arrival
 
 	// applyMu guards the fields below and is locked before mu.
 	applyMu sync.Mutex
@@ -254,7 +257,7 @@
 	f.mu.Lock()
 	problems := f.replica.DecodeErrors()
 	item, found := f.replica.Release()
-	changes := f.replica.ListChanges()
+	changes, came := f.replica.ListChanges(), f.arrival
 	var vms []vmlist.VM
 	if changes != f.listChanges {
 		vms = f.replica.VMs()
@@ -271,19 +274,27 @@
 		f.command.ApplyVMList(&vmlist.List{Revision: changes, VMs: vms})
 	}
 	if found && item.Position() != f.releaseAt {
-		f.applyRelease(item)
+		f.applyRelease(item, came)
 	}
 }
 
 // applyRelease applies a release item if it is valid. The caller holds applyMu.
-func (f *Follower) applyRelease(item source.Item) {
+func (f *Follower) applyRelease(item source.Item, came arrival) {
+	// The processor time of the thread is that of this work alone.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	s := &stages{arrival: came, began: f.usage(), ownAt: processorTime(rusageThread)}
 	f.releaseAt = item.Position()
 	p, err := f.decoder.Release(item.Value)
+	s.decoded, s.ownDecode = f.usage(), s.ownTime()
 	if err == nil {
 		var snap *mesh.Snapshot
 		if snap, err = mesh.BuildPublished(f.snapshot, p); err == nil {
+			s.built, s.ownBuild = f.usage(), s.ownTime()
 			f.snapshot = snap
 			f.command.ApplyRelease(snap)
+			s.applied, s.ownApply = f.usage(), s.ownTime()
+			f.reportInForce(snap.Version.Sequence, s)
 			return
 		}
 	}
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"auburnladder.example/core/source"
@@ -73,7 +74,7 @@
 			f.peers.Retire(vm.ID, ses)
 		}
 	}()
-	delays := messageDelays{asked: asked}
+	delays := messageDelays{asked: asked, via: viaParent, from: vm.ID}
 	for {
 		var c peerpb.SourceCopy
 		if err := st.Recv(&c); err != nil {
@@ -99,6 +100,8 @@
 	asked     time.Duration
 	started   bool
 	estimator transit.Estimator
+	// via and from name the sender in the log.
+	via, from string
 }
 
 // delay returns an upper bound of the delay of a message, but for a delay that lasts. sent is by the clock of the sender.
@@ -134,6 +137,7 @@
 
 // askRound requests a copy from PeersPerRound random peers, one after the other.
 func (f *Follower) askRound(ctx context.Context) {
+	counters.askRounds.Add(1)
 	candidates := f.peers.Candidates()
 	rand.Shuffle(len(candidates), func(i, j int) {
 		candidates[i], candidates[j] = candidates[j], candidates[i]
@@ -158,7 +162,7 @@
 	if err := ses.Exchange(ctx, copyRequest(before, false), &c); err != nil {
 		return err
 	}
-	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked})
+	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: addr.Addr().String()})
 	if err != nil {
 		return err
 	}
@@ -186,8 +190,11 @@
 	if c.GetRevision() == 0 {
 		return 0, errEmptyPeer
 	}
-	age := time.Duration(c.GetAgeUs())*time.Microsecond + delays.delay(time.Duration(c.GetSentUs())*time.Microsecond, received)
-	changed, err := f.mergeCopy(c, received)
+	transit := delays.delay(time.Duration(c.GetSentUs())*time.Microsecond, received)
+	age := time.Duration(c.GetAgeUs())*time.Microsecond + transit
+	came := arrival{via: delays.via, from: delays.from, whole: c.GetAfter() == 0, bytes: len(c.GetItems()), transit: transit}
+	came.received.at = received
+	changed, err := f.mergeCopy(c, came)
 	if changed {
 		f.applyReplica()
 	}
@@ -197,16 +204,22 @@
 // mergeCopy merges a copy or the changes of a peer into the replica, and reports whether it
 // held any items. What a peer that is behind says of the age of its copy holds for this one too,
 // which includes it.
-func (f *Follower) mergeCopy(c *peerpb.SourceCopy, received time.Duration) (changed bool, err error) {
+func (f *Follower) mergeCopy(c *peerpb.SourceCopy, came arrival) (changed bool, err error) {
+	if came.bytes > 0 {
+		counters.countTaken(c)
+		came.received.cpu, came.gc = processorTime(syscall.RUSAGE_SELF), readGC()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if positionOf(c).Compare(f.replica.Position()) < 0 {
 		return false, nil
 	}
 	if len(c.GetItems()) > 0 {
-		if err := f.applyItemsLocked(c, received); err != nil {
+		came.locked = f.usage()
+		if err := f.applyItemsLocked(c, came.received.at); err != nil {
 			return false, err
 		}
+		f.recordArrivalLocked(came)
 	}
 	if positionOf(c).Compare(f.replica.Position()) > 0 {
 		return false, errBehind
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -75,14 +75,18 @@
 	if err != nil {
 		return err
 	}
+	counters.storeReads.Add(1)
 	f.recordSuccess()
+	came := arrival{via: viaStore, whole: true, bytes: valueBytes(items), received: f.usage(), gc: readGC()}
 	f.mu.Lock()
+	came.locked = f.usage()
 	held := f.replica.Position()
 	if at.Era < held.Era {
 		f.mu.Unlock()
 		return errEraChanged
 	}
 	f.replaceLocked(time.Now(), items, at)
+	f.recordArrivalLocked(came)
 	f.machine.StoreRead(began)
 	f.renewLocked()
 	f.mu.Unlock()
@@ -93,6 +97,14 @@
 	return nil
 }
 
+func valueBytes(items []source.Item) int {
+	size := 0
+	for _, item := range items {
+		size += len(item.Value)
+	}
+	return size
+}
+
 // readPages returns all items, and the position of the first page.
 func (f *Follower) readPages() (items []source.Item, at source.Position, err error) {
 	for after := ""; ; {
@@ -138,8 +150,14 @@
 		return source.ErrHistoryLost
 	}
 	f.recordSuccess()
+	came := arrival{via: viaStore, received: f.usage(), gc: readGC()}
+	for _, ch := range changes.Changes {
+		came.bytes += len(ch.Value)
+	}
 	f.mu.Lock()
+	came.locked = f.usage()
 	applied := f.replica.Apply(time.Now(), changes)
+	f.recordArrivalLocked(came)
 	asOf := began
 	if len(changes.Changes) == 0 {
 		// The store waited in full before it responded.
