--- /dev/null
+++ b/node/follow/bench_test.go
@@ -0,0 +1,102 @@
+package follow
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"auburnladder.example/core/source"
+	"auburnladder.example/node/command"
+	"auburnladder.example/node/state"
+	"auburnladder.example/platform"
+	"auburnladder.example/wire/peerpb"
+	"github.com/rs/zerolog"
+)
+
+const configKey = "op/config"
+
+// configOf returns a configuration with routes of 3 services on 40 hosts, in which the prefix of
+// one route depends on version.
+func configOf(routes, version int) []byte {
+	rows := make([]string, routes)
+	for i := range rows {
+		prefix := fmt.Sprintf("/p%x/q%d/", i*7919, i)
+		if i == routes/2 {
+			prefix = fmt.Sprintf("/changed%d/", version)
+		}
+		rows[i] = fmt.Sprintf(`["r-%x","host%d.example","%s","safe","1500ms","500ms",%d,"%c",2,null]`, i*104729, i%40, prefix, i%3, 'a'+i%3)
+	}
+	return fmt.Appendf(nil, `{"version":%d,"routes":{"columns":["name","host","prefix","kind","timeout","targetLatency","priority","service","maxAttempts","trafficSplit"],
+"rows":[%s]},"services":{"columns":["name","healthPath","maxConns"],"rows":[["a","/h",110],["b","/h",110],["c","/h",90]]},
+"limits":{"headerBytes":16384,"bodyBytes":67108864,"header":"3000ms","idle":"15000ms"}}`, version, strings.Join(rows, ",\n"))
+}
+
+// newPlatformFollower returns an idle follower with the platform's decoder.
+func newPlatformFollower() *Follower {
+	cmd := &command.Commander{State: state.New(state.Identity{VM: "10.0.0.1"}), Log: zerolog.Nop(), Now: time.Now}
+	return New(DefaultConfig(), newFakeStore(), &platform.Decoder{PeerPort: 7000, Grace: time.Second}, noPeers{}, cmd, bootClock(), zerolog.Nop())
+}
+
+// write puts a configuration into the copy of a follower, as a watch of the store does.
+func write(f *Follower, revision uint64, value []byte) {
+	item := source.Item{Key: configKey, Value: value, Revision: revision}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.replica.Position().Revision == 0 {
+		f.replica.Replace(time.Now(), []source.Item{item}, source.Position{Revision: revision})
+	} else {
+		f.replica.Apply(time.Now(), source.Changes{Changes: []source.Change{{Item: item}}, Revision: revision})
+	}
+	f.renewLocked()
+}
+
+// oneRouteChanges returns copies with one changed route each, as a parent sends them.
+func oneRouteChanges(tb testing.TB, routes, count int) []*peerpb.SourceCopy {
+	parent := newPlatformFollower()
+	copies := make([]*peerpb.SourceCopy, count)
+	for i := range copies {
+		at := source.Position{Revision: uint64(i)}
+		write(parent, at.Revision+1, configOf(routes, i+1))
+		c, _, err := parent.copySince(at, i > 0)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		copies[i] = c
+	}
+	return copies
+}
+
+// BenchmarkTakeChangedRoute measures what a node does for one changed route of many that its
+// parent sends: taking the patch, passing it on, and applying the release.
+func BenchmarkTakeChangedRoute(b *testing.B) {
+	for _, routes := range []int{100, 1400, 2800} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			const count = 64
+			copies := oneRouteChanges(b, routes, count)
+			node := newPlatformFollower()
+			delays := new(messageDelays)
+			take := func(c *peerpb.SourceCopy) {
+				held := node.position()
+				if _, err := node.applyCopy(c, delays); err != nil {
+					b.Fatal(err)
+				}
+				if _, _, err := node.copySince(held, true); err != nil {
+					b.Fatal(err)
+				}
+			}
+			take(copies[0])
+			b.ReportAllocs()
+			b.ReportMetric(float64(len(copies[1].GetItems())), "patch-B")
+			for i := 0; b.Loop(); i++ {
+				if i%(count-1) == 0 && i > 0 {
+					b.StopTimer()
+					node = newPlatformFollower()
+					take(copies[0])
+					b.StartTimer()
+				}
+				take(copies[1+i%(count-1)])
+			}
+		})
+	}
+}
