A full read of the store keeps what is known of earlier revisions

Cause: a node that reads all items of the store (history lost, a start) forgot all removals and answered every node behind it with a whole copy, although it knows what differs between its items before and after: in a fleet with links of 9 Mbit/s one full read of the root sends the whole configuration over every link.

A full read now records the items that it finds missing. Only revisions in between, of which a node might hold an item that was added and removed again, still need a whole copy.

TestChangesSinceBeforeAFullRead failed before (Knows was false for revision 3). TestChangesSince draws nodes from among the skipped revisions too, which its replica never held before.

--- a/core/source/history.go
+++ b/core/source/history.go
@@ -6,6 +6,23 @@
 	revision uint64
 }
 
+// revisionRange is a range of revisions without its ends.
+type revisionRange struct{ from, to uint64 }
+
+// skipRevisions records that the replica moves to a position without each change up to it. A
+// node in between may hold an item that was added and removed again, which no removal tells it.
+func (r *Replica) skipRevisions(at Position, newEra bool) {
+	if newEra || r.at.Revision == 0 {
+		r.removals, r.removalsFrom, r.skipped = nil, at.Revision, revisionRange{}
+		return
+	}
+	if at.Revision == r.at.Revision {
+		return
+	}
+	r.removalsFrom = max(r.removalsFrom, r.skipped.to)
+	r.skipped = revisionRange{from: r.at.Revision, to: at.Revision}
+}
+
 // maxRemovals bounds the removals that a replica remembers. A node that is further behind gets
 // the whole copy.
 const maxRemovals = 1024
@@ -21,7 +38,10 @@
 
 // Knows reports whether Since returns all changes after a position.
 func (r *Replica) Knows(after Position) bool {
-	return after.Revision > 0 && after.Era == r.at.Era && after.Revision >= r.removalsFrom
+	if after.Revision == 0 || after.Era != r.at.Era || after.Revision < r.removalsFrom {
+		return false
+	}
+	return after.Revision <= r.skipped.from || after.Revision >= r.skipped.to
 }
 
 // Since returns the changes after a position, which the replica must know, or all items for
--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -62,6 +62,8 @@
 	// at or before removalsFrom are not known.
 	removals     []removal
 	removalsFrom uint64
+	// skipped is the last range of revisions whose changes were not received one by one.
+	skipped revisionRange
 }
 
 // NewReplica returns an empty replica.
@@ -126,6 +128,7 @@
 		// What was written after the copy was taken is missing until it is written again.
 		r.ExtendGrace(now.Add(r.cfg.ReturnGrace))
 	}
+	r.skipRevisions(at, newEra)
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
@@ -137,11 +140,10 @@
 	for key, item := range r.items {
 		if !present[key] && item.Position().Compare(at) <= 0 && !r.outlivesEra(item, at.Era) {
 			r.remove(now, key, !newEra)
+			r.recordRemoval(key, at.Revision)
 		}
 	}
 	r.at = at
-	// An item may have been added and removed again since the last revision.
-	r.removals, r.removalsFrom = nil, at.Revision
 	return true
 }
 
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -206,12 +206,35 @@
 	})
 }
 
+// Guards against whole copies for all other nodes because one has read all items of the store.
+func TestChangesSinceBeforeAFullRead(t *testing.T) {
+	Convey("A node from before a full read gets the changes since then, one from among the revisions that were skipped gets all", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		item := func(key string, revision uint64) Item {
+			return Item{Key: key, Revision: revision, Value: encode(key, int64(revision), false)}
+		}
+		r.Replace(start, []Item{item("s1", 1), item("s2", 2), item("s3", 3)}, Position{Revision: 3})
+		r.Replace(start, []Item{item("s1", 1), item("s2", 8)}, Position{Revision: 9})
+		So(r.Knows(Position{Revision: 3}), ShouldBeTrue)
+		So(r.Knows(Position{Revision: 6}), ShouldBeFalse)
+		So(r.Knows(Position{Revision: 9}), ShouldBeTrue)
+		changes := r.Since(Position{Revision: 3})
+		So(changes, ShouldHaveLength, 2)
+		So(changes[0].Key, ShouldEqual, "s2")
+		So(changes[1].Key, ShouldEqual, "s3")
+		So(changes[1].Removed, ShouldBeTrue)
+	})
+}
+
 // TestChangesSince guards against a change or a removal that is missing from what another node
 // gets, whatever revision it holds: with the changes since then it must hold what this replica
 // holds.
 func TestChangesSince(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := NewReplica(DefaultConfig(), textDecoder{})
+		// store receives each change; r misses some and then reads all items.
+		store := NewReplica(DefaultConfig(), textDecoder{})
+		missing := false
 		copies := map[uint64]*Replica{}
 		revision := uint64(0)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -221,17 +244,29 @@
 			switch rapid.IntRange(0, 9).Draw(t, "kind") {
 			case 0, 1, 2:
 				c.Removed, c.Value = true, nil
-				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+				store.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
 			case 3:
-				// All items are read again: what was removed in between is not known.
-				r.Replace(start, []Item{c.Item}, Position{Revision: revision})
+				// All other items are removed.
+				store.Replace(start, []Item{c.Item}, Position{Revision: revision})
+				missing = true
 			default:
+				store.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+			}
+			missing = missing || rapid.IntRange(0, 4).Draw(t, "missed") == 0
+			switch {
+			case !missing:
 				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+			case rapid.Bool().Draw(t, "read"):
+				r.Replace(start, store.Items(), Position{Revision: revision})
+				missing = false
 			}
 			held := NewReplica(DefaultConfig(), textDecoder{})
-			held.Replace(start, r.Items(), Position{Revision: revision})
+			held.Replace(start, store.Items(), Position{Revision: revision})
 			copies[revision] = held
 		}
+		if missing {
+			r.Replace(start, store.Items(), Position{Revision: revision})
+		}
 		for after, held := range copies {
 			if r.Knows(Position{Revision: after}) {
 				held.Apply(start, Changes{Changes: r.Since(Position{Revision: after}), Revision: r.Position().Revision})
