Send a patch of a release also with the first message of a stream

Cause: a node whose copy got old asked random nodes and took another parent, and each of these got the whole changed release in the first message, although the position that it states says which release it holds. The more nodes were late, the more whole copies went over their links (9 Mbit/s at most machines) and the later all of them got.

Every answer is now a patch where the sender knows the release at the stated position. The receiver checks the base and the sum as before; one that holds another release asks once more, for all.

--- a/node/follow/bench_test.go
+++ b/node/follow/bench_test.go
@@ -58,7 +58,7 @@
 	for i := range copies {
 		at := source.Position{Revision: uint64(i)}
 		write(parent, at.Revision+1, configOf(routes, i+1))
-		c, _, err := parent.copySince(at, i > 0)
+		c, _, err := parent.copySince(at)
 		if err != nil {
 			tb.Fatal(err)
 		}
@@ -81,7 +81,7 @@
 				if _, err := node.applyCopy(c, delays); err != nil {
 					b.Fatal(err)
 				}
-				if _, _, err := node.copySince(held, true); err != nil {
+				if _, _, err := node.copySince(held); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -41,9 +41,8 @@
 			st.AwaitEnd()
 		})
 	}
-	for first := true; ; first = false {
-		// Only of what this stream has sent is it known that the node holds it.
-		c, renewed, err := f.copySince(after, !first)
+	for {
+		c, renewed, err := f.copySince(after)
 		if err != nil {
 			f.log.Error().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be encoded")
 			return
@@ -70,9 +69,9 @@
 }
 
 // copySince returns the changes after a position, or the whole copy if they are not known, and
-// a channel that is closed when the copy has changed or was confirmed. With patch, a changed
-// release may be sent as a patch of the one at that position.
-func (f *Follower) copySince(after source.Position, patch bool) (*peerpb.SourceCopy, <-chan struct{}, error) {
+// a channel that is closed when the copy has changed or was confirmed. A changed release may be sent
+// as a patch of the one at that position; a node that holds another one asks for the whole copy.
+func (f *Follower) copySince(after source.Position) (*peerpb.SourceCopy, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, at := f.boot(), f.replica.Position()
@@ -86,7 +85,7 @@
 	}
 	if at.Compare(after) > 0 {
 		var err error
-		if c.After, c.Items, err = f.encodeSinceLocked(after, patch); err != nil {
+		if c.After, c.Items, err = f.encodeSinceLocked(after); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -95,20 +94,16 @@
 
 // encodeSinceLocked returns the encoded changes after a position of the present era, of which base
 // is the revision, or the whole copy with base 0. The caller holds mu.
-func (f *Follower) encodeSinceLocked(after source.Position, patch bool) (base uint64, data []byte, err error) {
+func (f *Follower) encodeSinceLocked(after source.Position) (base uint64, data []byte, err error) {
 	if !f.replica.Knows(after) {
-		after, patch = source.Position{}, false
+		after = source.Position{}
 	}
-	key := encodingKey{after: after, at: f.replica.Position(), patched: patch}
+	key := encodingKey{after: after, at: f.replica.Position()}
 	if data := f.encoded.find(key); data != nil {
 		return after.Revision, data, nil
 	}
-	var old source.Item
-	if patch {
-		old = f.releases.at(after)
-	}
 	began := f.boot()
-	if data, err = encodeChanges(f.replica.Since(after), old); err != nil {
+	if data, err = encodeChanges(f.replica.Since(after), f.releases.at(after)); err != nil {
 		return 0, nil, err
 	}
 	counters.encodeMicros.Add((f.boot() - began).Microseconds())
@@ -132,7 +127,7 @@
 		f.replica.ExtendGrace(now.Add(grace))
 	}
 	if c.GetAfter() > 0 {
-		f.encoded.add(encodingKey{after: after, at: at, patched: true}, c.GetItems())
+		f.encoded.add(encodingKey{after: after, at: at}, c.GetItems())
 		f.replica.Apply(now, source.Changes{Changes: changes, Era: at.Era, Revision: at.Revision})
 		return nil
 	}
@@ -151,10 +146,8 @@
 }
 
 // encodingKey identifies the encoding of the changes after one position up to another one.
-// patched is set if a value may be a patch.
 type encodingKey struct {
 	after, at source.Position
-	patched   bool
 }
 
 type encodedSet struct {
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -343,10 +343,10 @@
 	Convey("A peer receives a copy only if it is newer than the peer's own", t, func() {
 		f := New(DefaultConfig(), newFakeStore(), plainDecoder{}, noPeers{}, &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}, bootClock(), zerolog.Nop())
 		f.replica.Replace(time.Now(), []source.Item{{Key: "10.0.0.2", Revision: 8}}, source.Position{Revision: 9})
-		c, _, err := f.copySince(source.Position{Revision: 9}, false)
+		c, _, err := f.copySince(source.Position{Revision: 9})
 		So(err, ShouldBeNil)
 		So(c.GetItems(), ShouldBeEmpty)
-		c, _, err = f.copySince(source.Position{Revision: 8}, false)
+		c, _, err = f.copySince(source.Position{Revision: 8})
 		So(err, ShouldBeNil)
 		So(c.GetItems(), ShouldNotBeEmpty)
 		So(c.GetRevision(), ShouldEqual, 9)
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -153,28 +153,43 @@
 func (f *Follower) askPeer(ctx context.Context, addr netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	ses, err := f.peers.Get(ctx, addr.Addr().String(), addr)
+	vm := addr.Addr().String()
+	ses, err := f.peers.Get(ctx, vm, addr)
 	if err != nil {
 		return err
 	}
-	before, asked := f.position(), f.boot()
-	var c peerpb.SourceCopy
-	if err := ses.Exchange(ctx, copyRequest(before, false), &c); err != nil {
-		return err
+	before := f.position()
+	at, err := f.askCopy(ctx, vm, ses, before)
+	if errors.Is(err, errNoBase) {
+		at, err = f.askCopy(ctx, vm, ses, source.Position{})
 	}
-	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: addr.Addr().String()})
 	if err != nil {
 		return err
 	}
+	if at.Compare(before) > 0 {
+		f.log.Info().Str("event", "peer-copy-taken").Stringer("peer", addr).
+			Uint64("from_revision", before.Revision).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("copy of the store applied from a peer")
+	}
+	return nil
+}
+
+// askCopy requests what is newer than a position over a session to a VM and applies it. It returns
+// the position of the copy.
+func (f *Follower) askCopy(ctx context.Context, vm string, ses *session.Session, after source.Position) (source.Position, error) {
+	asked := f.boot()
+	var c peerpb.SourceCopy
+	if err := ses.Exchange(ctx, copyRequest(after, false), &c); err != nil {
+		return source.Position{}, err
+	}
+	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: vm})
+	if err != nil {
+		return source.Position{}, err
+	}
 	f.mu.Lock()
 	f.machine.Copied(asOf)
 	f.mu.Unlock()
 	f.signalSteer()
-	if positionOf(&c).Compare(before) > 0 {
-		f.log.Info().Str("event", "peer-copy-taken").Stringer("peer", addr).
-			Uint64("from_revision", before.Revision).Uint64("era", c.GetEra()).Uint64("revision", c.GetRevision()).Msg("copy of the store applied from a peer")
-	}
-	return nil
+	return positionOf(&c), nil
 }
 
 var (
--- a/node/follow/spread_test.go
+++ b/node/follow/spread_test.go
@@ -111,7 +111,7 @@
 		cmd := &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}
 		f := New(DefaultConfig(), newFakeStore(), otherDecoder{}, noPeers{}, cmd, bootClock(), zerolog.Nop())
 		f.replica.Replace(time.Now(), []source.Item{{Key: "a", Revision: 1}, {Key: "not UTF-8: \xff", Revision: 2}}, source.Position{Revision: 2})
-		_, _, err := f.copySince(source.Position{}, false)
+		_, _, err := f.copySince(source.Position{})
 		So(err, ShouldNotBeNil)
 	})
 }
