Read the newest configuration instead of each version of a series

Cause: a watch responds with every version of the configuration since the position asked for, each in full. After a delay, in a series of changes, that is many times the configuration itself: on a link of 9 Mbit/s it takes seconds, the call ends at a total timeout of 700 ms beyond its wait, and the next attempt asks for more. Each node whose copy gets old joins in. Class: catching up by history, whose size depends on the number of changes, under a limit on the total time.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -19,6 +19,10 @@
 // caller must read all items again.
 var ErrHistoryLost = errors.New("store no longer has the changes after the requested revision")
 
+// ErrTooManyChanges reports that the changes after a revision are too large to be read one by one.
+// The caller must read the items as they are now.
+var ErrTooManyChanges = errors.New("changes after the requested revision are too large")
+
 // RejectedError reports a response of the store whose HTTP status indicates no data.
 type RejectedError struct {
 	Status int
--- a/node/follow/config.go
+++ b/node/follow/config.go
@@ -12,8 +12,12 @@
 	List(after string) (source.Page, error)
 	// Watch returns the changes after a revision as soon as there are any, and no changes
 	// when wait has passed. It returns source.ErrHistoryLost if the store no longer has the
-	// changes since that revision.
+	// changes since that revision, and source.ErrTooManyChanges if they are too large.
 	Watch(after uint64, wait time.Duration) (source.Changes, error)
+	// ReadRelease returns the release item as it is now, in a page that is empty if there is none.
+	ReadRelease() (source.Page, error)
+	// WatchServers is Watch for the entries of servers only.
+	WatchServers(after uint64, wait time.Duration) (source.Changes, error)
 }
 
 // Reading says which nodes read the store.
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -35,6 +35,9 @@
 	watchLimiter *rate.Limiter
 	// failing is set while the store does not respond to this node.
 	failing atomic.Bool
+	// inSeries is set while releases follow each other so quickly that reading each of them takes
+	// too long.
+	inSeries atomic.Bool
 	// calls tracks the open calls to the store, which may outlive Run.
 	calls conc.WaitGroup
 	// stopped is closed by Stop.
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -39,6 +39,8 @@
 	era         uint64
 	down        bool
 	historyLost bool
+	// maxReleases is the largest number of releases that a watch returns; 0 if there is none.
+	maxReleases int
 	lists       atomic.Int64
 	watches     atomic.Int64
 	changed     chan struct{}
@@ -81,15 +83,41 @@
 }
 
 func (s *fakeStore) Watch(after uint64, wait time.Duration) (source.Changes, error) {
+	return s.watch(after, wait, "")
+}
+
+func (s *fakeStore) ReadRelease() (source.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return source.Page{}, errDown
+	}
+	p := source.Page{Revision: s.revision, Era: s.era}
+	if item, found := s.items["config"]; found {
+		item.Era = s.era
+		p.Items = append(p.Items, item)
+	}
+	return p, nil
+}
+
+func (s *fakeStore) WatchServers(after uint64, wait time.Duration) (source.Changes, error) {
+	return s.watch(after, wait, "config")
+}
+
+// watch returns the changes after a revision but for those of the key without.
+func (s *fakeStore) watch(after uint64, wait time.Duration, without string) (source.Changes, error) {
 	end := time.After(wait)
 	s.watches.Add(1)
 	for timedOut := false; ; {
 		s.mu.Lock()
-		c := source.Changes{Revision: s.revision, Era: s.era}
+		c, releases := source.Changes{Revision: s.revision, Era: s.era}, 0
 		for _, e := range s.events {
-			if e.Revision > after {
+			if e.Revision > after && (without == "" || e.Key != without) {
 				e.Era = s.era
 				c.Changes = append(c.Changes, e)
+				if e.Key == "config" {
+					releases++
+				}
 			}
 		}
 		down, lost, changed := s.down, s.historyLost, s.changed
@@ -98,6 +126,8 @@
 		switch {
 		case down:
 			return source.Changes{}, errDown
+		case s.maxReleases > 0 && releases > s.maxReleases:
+			return source.Changes{}, source.ErrTooManyChanges
 		case lost:
 			s.change(func() { s.historyLost = false })
 			return source.Changes{}, source.ErrHistoryLost
--- a/node/follow/rig_test.go
+++ b/node/follow/rig_test.go
@@ -160,6 +160,24 @@
 	return n.fleet.store.Watch(after, wait)
 }
 
+// ReadRelease implements Store.
+func (n *fleetNode) ReadRelease() (source.Page, error) {
+	n.calls.Add(1)
+	if n.cutStore.Load() {
+		return source.Page{}, errDown
+	}
+	return n.fleet.store.ReadRelease()
+}
+
+// WatchServers implements Store.
+func (n *fleetNode) WatchServers(after uint64, wait time.Duration) (source.Changes, error) {
+	n.calls.Add(1)
+	if n.cutStore.Load() {
+		return source.Changes{}, errDown
+	}
+	return n.fleet.store.WatchServers(after, wait)
+}
+
 // Candidates implements Peers.
 func (n *fleetNode) Candidates() []netip.AddrPort {
 	n.fleet.mu.Lock()
--- /dev/null
+++ b/node/follow/series_test.go
@@ -0,0 +1,39 @@
+package follow
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a node that never catches up with a series of releases whose changes the store
+// returns one by one.
+func TestSeriesOfReleasesIsTooLargeForAWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The newest release and all changes of servers are in force soon after, without reading all items", t, func() {
+			store, r := startWithOneRelease()
+			defer r.stop()
+			time.Sleep(time.Second)
+			store.maxReleases = 2
+			lists := store.lists.Load()
+			sequence := byte(1)
+			for range 40 {
+				for range 5 {
+					sequence++
+					store.put("config", string([]byte{sequence}))
+				}
+				store.put("10.0.0.2", string([]byte{sequence}))
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(r.cfg.ApplyWithin / 2)
+			So(r.sequence(), ShouldEqual, sequence)
+			So(r.vms(), ShouldResemble, []string{"10.0.0.2"})
+			So(store.lists.Load(), ShouldEqual, lists)
+			store.remove("10.0.0.2")
+			time.Sleep(r.cfg.ApplyWithin / 2)
+			So(r.vms(), ShouldBeEmpty)
+		})
+	})
+}
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -14,12 +14,12 @@
 func (f *Follower) readStore(ctx context.Context) {
 	backoff := f.cfg.RetryMin
 	for f.await(ctx, f.wantsStore) {
-		call := f.readAll
-		if f.position().Revision > 0 {
-			call = f.watch
+		err := f.callUntilDone(ctx, f.nextCall())
+		if errors.Is(err, source.ErrTooManyChanges) {
+			f.log.Info().Err(err).Str("event", "changes-skipped").Uint64("revision", f.position().Revision).Msg("reading the configuration as it is now instead of each change")
+			err = f.callUntilDone(ctx, f.readLatest)
 		}
-		err := f.callUntilDone(ctx, call)
-		if errors.Is(err, source.ErrHistoryLost) {
+		if errors.Is(err, source.ErrHistoryLost) || errors.Is(err, source.ErrTooManyChanges) {
 			f.log.Warn().Str("event", "history-lost").Uint64("revision", f.position().Revision).Msg("store no longer has the changes since this revision; reading all items")
 			err = f.callUntilDone(ctx, f.readAll)
 		}
@@ -34,6 +34,18 @@
 	}
 }
 
+// nextCall returns the call that brings the changes since the last one.
+func (f *Follower) nextCall() func() error {
+	switch {
+	case f.position().Revision == 0:
+		return f.readAll
+	case f.inSeries.Load():
+		return f.readLatest
+	default:
+		return f.watch
+	}
+}
+
 // retryMax returns the longest backoff after failed calls. Only the root must notice soon that
 // the store responds again; the others hear of it from the root.
 func (f *Follower) retryMax() time.Duration {
@@ -150,6 +162,42 @@
 		return source.ErrHistoryLost
 	}
 	f.recordSuccess()
+	asOf := began
+	if len(changes.Changes) == 0 {
+		// The store waited in full before it responded.
+		asOf += wait
+	}
+	f.applyChanges(changes, asOf)
+	return nil
+}
+
+// readLatest reads the release as it is now and the changes of the servers. Unlike watch it does
+// not receive the releases in between. The series of releases has ended when it finds none.
+func (f *Follower) readLatest() error {
+	began, after := f.boot(), f.position()
+	release, err := f.store.ReadRelease()
+	if err != nil {
+		return err
+	}
+	changes, err := f.store.WatchServers(after.Revision, 0)
+	if err != nil {
+		return err
+	}
+	if release.Era != after.Era || changes.Era != after.Era || len(release.Items) == 0 {
+		return source.ErrHistoryLost
+	}
+	for _, item := range release.Items {
+		f.inSeries.Store(item.Revision > after.Revision)
+		changes.Changes = append(changes.Changes, source.Change{Item: item})
+	}
+	changes.Revision = min(changes.Revision, release.Revision)
+	f.recordSuccess()
+	f.applyChanges(changes, began)
+	return nil
+}
+
+// applyChanges applies changes of the store that are complete as of a time.
+func (f *Follower) applyChanges(changes source.Changes, asOf time.Duration) {
 	came := arrival{via: viaStore, received: f.usage(), gc: readGC()}
 	for _, ch := range changes.Changes {
 		came.bytes += len(ch.Value)
@@ -158,18 +206,12 @@
 	came.locked = f.usage()
 	applied := f.replica.Apply(time.Now(), changes)
 	f.recordArrivalLocked(came)
-	asOf := began
-	if len(changes.Changes) == 0 {
-		// The store waited in full before it responded.
-		asOf += wait
-	}
 	if applied {
 		f.machine.StoreRead(min(asOf, f.boot()))
 		f.renewLocked()
 	}
 	f.mu.Unlock()
 	f.applyReplica()
-	return nil
 }
 
 // watchWait returns how long the next watch may wait. It is 0 after a failure, so that the copy
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -65,6 +65,12 @@
 	LinkMbps float64 `yaml:"link_mbps"`
 }
 
+// bytesPerMegabit converts megabits to bytes.
+const bytesPerMegabit = 1e6 / 8
+
+// LinkBytesPerSecond returns the rate of the VM's network link, 0 if unknown.
+func (v *VM) LinkBytesPerSecond() float64 { return v.LinkMbps * bytesPerMegabit }
+
 // Validate checks the rate of the link.
 func (v *VM) Validate() []yamlcheck.Problem {
 	if v.LinkMbps < 0 {
--- a/node/store.go
+++ b/node/store.go
@@ -42,14 +42,11 @@
 	n.querier.Stopping = n.stopper.stopping.Load
 }
 
-// bytesPerMegabit converts megabits to bytes.
-const bytesPerMegabit = 1e6 / 8
-
 // egressConfig returns the limits of the egress. With a key-value store, waiting requests are
 // served in the order of their urgency instead of fairly between callers.
 func (n *Node) egressConfig() egress.Config {
 	cfg := egress.DefaultConfig()
-	cfg.Transfer.LinkRate = n.startSettings.VM.LinkMbps * bytesPerMegabit
+	cfg.Transfer.LinkRate = n.startSettings.VM.LinkBytesPerSecond()
 	if n.store != nil {
 		cfg.Admission.Order = admission.OrderUrgency
 	}
