--- a/bench/calls/cluster.go
+++ b/bench/calls/cluster.go
@@ -236,7 +236,7 @@
 		Server:    mesh.Server{Slots: c.cfg.slots, Connections: c.cfg.slots + 100},
 		Stop:      mesh.Stop{Method: mesh.StopNone, Grace: mesh.Millis(2000)},
 		Resources: []mesh.Resource{{Name: "sessions", MaxRequestBytes: 1 << 20, MaxResponseBytes: 1 << 20}},
-		Routes: []mesh.Route{{
+		Routes: []*mesh.Route{{
 			Name: "sessions", Methods: []string{"GET"}, Prefix: "/", Service: service, Resource: "sessions",
 			Idempotent: true, Retry: mesh.Retry{Attempts: 3, Statuses: []int{500, 503}},
 			Deadline: mesh.Millis(c.cfg.deadline.Milliseconds()),
--- a/bench/distribution/content.go
+++ b/bench/distribution/content.go
@@ -61,7 +61,7 @@
 	for r := range routesPerService {
 		resource := fmt.Sprintf("resource-%d", r)
 		s.Resources = append(s.Resources, mesh.Resource{Name: resource, MaxRequestBytes: 65536, MaxResponseBytes: 1 << 20})
-		s.Routes = append(s.Routes, mesh.Route{
+		s.Routes = append(s.Routes, &mesh.Route{
 			Name: fmt.Sprintf("route-%d", r), Methods: []string{"GET", "HEAD"}, Prefix: fmt.Sprintf("/api/%d", r),
 			Service: serviceName((i + r) % services), Resource: resource, Idempotent: true,
 			Retry: mesh.Retry{Attempts: 3, Statuses: []int{502, 503}}, Deadline: 800,
--- a/core/distribution/fixture_test.go
+++ b/core/distribution/fixture_test.go
@@ -56,7 +56,7 @@
 		Server:    mesh.Server{Slots: 10, Connections: 110},
 		Stop:      mesh.Stop{Method: mesh.StopNone, Grace: 1000},
 		Resources: []mesh.Resource{{Name: "main", MaxRequestBytes: int64(1000 + salt), MaxResponseBytes: 1000}},
-		Routes: []mesh.Route{{
+		Routes: []*mesh.Route{{
 			Name: "all", Methods: []string{"GET"}, Prefix: "/", Service: target, Resource: "main",
 			Idempotent: true, Retry: mesh.Retry{Attempts: 2}, Deadline: 1000,
 		}},
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -15,7 +15,7 @@
 		Server:    Server{Slots: 2, Connections: 4},
 		Stop:      Stop{Method: StopNone, Grace: 100},
 		Resources: []Resource{{Name: "main", MaxRequestBytes: 10, MaxResponseBytes: 10}},
-		Routes: []Route{
+		Routes: []*Route{
 			{Name: "all", Methods: []string{"GET"}, Prefix: "/", Service: target, Resource: "main", Idempotent: true, Retry: Retry{Attempts: 2}, Deadline: 100},
 			{Name: "deep", Methods: []string{"GET"}, Prefix: "/deep/er", Service: target, Resource: "main", Retry: Retry{Attempts: 1}, Deadline: 100},
 		},
--- a/core/mesh/model.go
+++ b/core/mesh/model.go
@@ -33,7 +33,8 @@
 	Server    Server     `json:"server"`
 	Stop      Stop       `json:"stop"`
 	Resources []Resource `json:"resources"`
-	Routes    []Route    `json:"routes"`
+	// Routes may be shared by several services and must not be changed.
+	Routes []*Route `json:"routes"`
 	// Clients limits what clients of the nodes may send; nil selects the nodes' defaults.
 	Clients *ClientLimits `json:"client_limits,omitempty"`
 }
--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -154,9 +154,10 @@
 		}
 	}
 	matches := make([]*Match, 0, len(svc.Routes))
+	resolved := make([]Match, len(svc.Routes))
 	for i := range svc.Routes {
-		m, err := s.resolveRoute(svc, i)
-		if err != nil {
+		m := &resolved[i]
+		if err := s.resolveRoute(svc, i, m); err != nil {
 			return err
 		}
 		if host := m.Route.Host; host != "" {
@@ -174,19 +175,19 @@
 	return nil
 }
 
-// resolveRoute resolves the references of route i of svc.
-func (s *Snapshot) resolveRoute(svc *Service, i int) (*Match, error) {
-	r := &svc.Routes[i]
+// resolveRoute sets m to route i of svc with its references resolved.
+func (s *Snapshot) resolveRoute(svc *Service, i int, m *Match) error {
+	r := svc.Routes[i]
 	target := s.services[r.Service]
 	if target == nil {
-		return nil, svc.fieldError(fmt.Sprintf("routes[%d].service", i), fmt.Sprintf("service %q is not in this release", r.Service))
+		return svc.fieldError(fmt.Sprintf("routes[%d].service", i), fmt.Sprintf("service %q is not in this release", r.Service))
 	}
 	res := target.resource(r.Resource)
 	if res == nil {
-		return nil, svc.fieldError(fmt.Sprintf("routes[%d].resource", i), fmt.Sprintf("service %q has no resource %q", r.Service, r.Resource))
+		return svc.fieldError(fmt.Sprintf("routes[%d].resource", i), fmt.Sprintf("service %q has no resource %q", r.Service, r.Resource))
 	}
-	m := &Match{Owner: svc, Route: r, Target: target, Resource: res}
-	return m, s.resolveSplit(svc, i, m)
+	*m = Match{Owner: svc, Route: r, Target: target, Resource: res}
+	return s.resolveSplit(svc, i, m)
 }
 
 // resolveSplit sets m.Parts from the split of route i of svc.
--- a/core/mesh/source.go
+++ b/core/mesh/source.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 
 	"auburnladder.example/core/release"
 )
@@ -19,34 +22,187 @@
 	Services   []*Service
 }
 
-// BuildPublished takes over the services of p, which must not be changed afterwards. It encodes
-// p as a release and builds its snapshot. It reuses services of
-// the previous snapshot that did not change; previous may be nil. On an error it
-// returns no snapshot.
+// BuildPublished is Builder.Build with a new builder that knows the previous snapshot, which may
+// be nil.
 func BuildPublished(previous *Snapshot, p *Published) (*Snapshot, error) {
-	services := slices.Clone(p.Services)
-	slices.SortFunc(services, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	b := NewBuilder()
+	b.previous = previous
+	return b.Build(p)
+}
+
+// Builder builds the snapshots of successive published releases. What it has checked and
+// encoded once, it does not check and encode again. It is not safe for concurrent use.
+type Builder struct {
+	previous *Snapshot
+	// services holds the services of the last release by name.
+	services map[string]*builtService
+	// routes holds routes that are valid, with their encoding.
+	routes map[*Route]*builtRoute
+	// releases counts the calls of Build.
+	releases uint64
+}
+
+// builtService is a service with its encoding, in which routes stands for the routes.
+type builtService struct {
+	service  *Service
+	settings []byte
+	ref      release.ChunkRef
+}
+
+// builtRoute is the encoding of a route, with the count of the last release that has it.
+type builtRoute struct {
+	data []byte
+	used uint64
+}
+
+// NewBuilder returns a builder that knows no release.
+func NewBuilder() *Builder {
+	return &Builder{services: make(map[string]*builtService), routes: make(map[*Route]*builtRoute)}
+}
+
+// Build takes over the services of p and their routes, which must not be changed afterwards. It
+// encodes p as a release and builds its snapshot. On an error it returns no snapshot, and p is
+// forgotten.
+func (b *Builder) Build(p *Published) (*Snapshot, error) {
+	b.releases++
+	built, err := b.encodeAll(p.Services)
+	if err != nil {
+		return nil, err
+	}
+	v, err := verifiedBySource(p, built)
+	if err != nil {
+		return nil, err
+	}
+	// The services were validated when they were encoded, so they need not be decoded from chunks.
+	snap, err := rebuild(b.previous, v, func(ref release.ChunkRef) (*Service, error) { return built[ref.Name].service, nil })
+	if err != nil {
+		return nil, err
+	}
+	b.previous, b.services = snap, built
+	b.dropUnused()
+	return snap, nil
+}
+
+// verifiedBySource returns the manifest of a release, approved by its source.
+func verifiedBySource(p *Published, built map[string]*builtService) (*release.Verified, error) {
 	m := &release.Manifest{Format: release.FormatVersion, Deployment: p.Deployment, Sequence: p.Sequence}
-	built := make(map[release.Digest]*Service, len(services))
-	for _, svc := range services {
-		data, err := svc.Encode()
-		if err != nil {
-			return nil, err
-		}
-		digest := release.DigestOf(data)
-		built[digest] = svc
-		m.Chunks = append(m.Chunks, release.ChunkRef{Name: svc.Name, Digest: digest, Size: len(data)})
+	for _, name := range slices.Sorted(maps.Keys(built)) {
+		m.Chunks = append(m.Chunks, built[name].ref)
 	}
 	encoded, err := m.Encode()
 	if err != nil {
 		return nil, fmt.Errorf("published release: %w", err)
 	}
-	v := &release.Verified{
+	return &release.Verified{
 		Version:  release.Version{Sequence: m.Sequence, Digest: release.DigestOf(encoded)},
 		Manifest: m,
 		KeyID:    ApprovedBySource,
 		Approved: &release.Approved{Manifest: encoded},
+	}, nil
+}
+
+// encodeAll validates and encodes services. It returns those of the last release that did not
+// change in place of the new ones.
+func (b *Builder) encodeAll(services []*Service) (map[string]*builtService, error) {
+	all := make(map[string]*builtService, len(services))
+	for _, svc := range services {
+		if all[svc.Name] != nil {
+			return nil, fmt.Errorf("published release: service %q is listed twice", svc.Name)
+		}
+		built, err := b.encode(svc)
+		if err != nil {
+			return nil, err
+		}
+		all[svc.Name] = built
+	}
+	return all, nil
+}
+
+func (b *Builder) encode(svc *Service) (*builtService, error) {
+	withoutRoutes := *svc
+	withoutRoutes.Routes = []*Route{}
+	settings, err := json.Marshal(&withoutRoutes)
+	if err != nil {
+		return nil, fmt.Errorf("service %q: %w", svc.Name, err)
+	}
+	last := b.services[svc.Name]
+	if last != nil && bytes.Equal(last.settings, settings) && slices.Equal(last.service.Routes, svc.Routes) {
+		b.markUsed(svc.Routes)
+		return last, nil
+	}
+	if err := svc.validate(func(r *Route) bool { return b.routes[r] != nil }); err != nil {
+		return nil, err
+	}
+	ref, err := b.chunkRef(svc, settings)
+	if err != nil {
+		return nil, err
+	}
+	return &builtService{service: svc, settings: settings, ref: ref}, nil
+}
+
+// emptyRoutes is how a service without routes encodes them. No other field has that name.
+var emptyRoutes = []byte(`"routes":[]`)
+
+// chunkRef returns the name, size and digest of the chunk of svc, which holds the bytes that
+// Service.Encode returns. settings is the encoding of svc without its routes.
+func (b *Builder) chunkRef(svc *Service, settings []byte) (release.ChunkRef, error) {
+	at := bytes.Index(settings, emptyRoutes) + len(emptyRoutes) - 1
+	hash := sha256.New()
+	size := len(settings)
+	hash.Write(settings[:at])
+	for i, r := range svc.Routes {
+		route, err := b.encodeRoute(r)
+		if err != nil {
+			return release.ChunkRef{}, fmt.Errorf("service %q: %w", svc.Name, err)
+		}
+		if i > 0 {
+			hash.Write([]byte{','})
+			size++
+		}
+		hash.Write(route.data)
+		size += len(route.data)
+	}
+	hash.Write(settings[at:])
+	return release.ChunkRef{Name: svc.Name, Digest: release.Digest(hash.Sum(nil)), Size: size}, nil
+}
+
+// encodeRoute returns the encoding of a valid route.
+func (b *Builder) encodeRoute(r *Route) (*builtRoute, error) {
+	built := b.routes[r]
+	if built == nil {
+		data, err := json.Marshal(r)
+		if err != nil {
+			return nil, err
+		}
+		built = &builtRoute{data: data}
+		b.routes[r] = built
+	}
+	built.used = b.releases
+	return built, nil
+}
+
+func (b *Builder) markUsed(routes []*Route) {
+	for _, r := range routes {
+		b.routes[r].used = b.releases
+	}
+}
+
+// maxUnused is the number of routes that are kept beyond those of the last release, relative to
+// these.
+const maxUnused = 0.5
+
+// dropUnused drops the routes that the last release does not have, once there are many of them.
+func (b *Builder) dropUnused() {
+	inRelease := 0
+	for _, built := range b.services {
+		inRelease += len(built.service.Routes)
+	}
+	if float64(len(b.routes)) <= (1+maxUnused)*float64(inRelease) {
+		return
+	}
+	for r, built := range b.routes {
+		if built.used != b.releases {
+			delete(b.routes, r)
+		}
 	}
-	// The services were validated by Encode, so they need not be decoded from their chunks.
-	return rebuild(previous, v, func(ref release.ChunkRef) (*Service, error) { return built[ref.Digest], nil })
 }
--- a/core/mesh/validate.go
+++ b/core/mesh/validate.go
@@ -20,6 +20,11 @@
 
 // Validate checks the fields of s. Build checks the references to other services.
 func (s *Service) Validate() error {
+	return s.validate(func(*Route) bool { return false })
+}
+
+// validate is Validate, but takes the routes for which valid returns true as valid.
+func (s *Service) validate(valid func(*Route) bool) error {
 	if s.Name == "" {
 		return s.fieldError("name", "is missing")
 	}
@@ -38,13 +43,13 @@
 	if err := s.validateResources(); err != nil {
 		return err
 	}
-	return s.validateRoutes()
+	return s.validateRoutes(valid)
 }
 
 // allRoutesHaveHost reports whether every route overrides the service's hosts.
 func (s *Service) allRoutesHaveHost() bool {
-	for i := range s.Routes {
-		if s.Routes[i].Host == "" {
+	for _, r := range s.Routes {
+		if r != nil && r.Host == "" {
 			return false
 		}
 	}
@@ -86,16 +91,20 @@
 	return nil
 }
 
-func (s *Service) validateRoutes() error {
+func (s *Service) validateRoutes(valid func(*Route) bool) error {
 	seen := make(map[string]bool, len(s.Routes))
-	for i := range s.Routes {
-		r := &s.Routes[i]
-		field := fmt.Sprintf("routes[%d]", i)
+	for i, r := range s.Routes {
+		if r == nil {
+			return s.fieldError(fmt.Sprintf("routes[%d]", i), "is missing")
+		}
 		if seen[r.Name] {
-			return s.fieldError(field+".name", fmt.Sprintf("duplicate route %q", r.Name))
+			return s.fieldError(fmt.Sprintf("routes[%d].name", i), fmt.Sprintf("duplicate route %q", r.Name))
 		}
 		seen[r.Name] = true
-		if err := s.validateRoute(field, r); err != nil {
+		if valid(r) {
+			continue
+		}
+		if err := s.validateRoute(fmt.Sprintf("routes[%d]", i), r); err != nil {
 			return err
 		}
 	}
--- a/core/questionnaire/compile.go
+++ b/core/questionnaire/compile.go
@@ -142,13 +142,13 @@
 		s.Routes = append(s.Routes, q.Routes[i].toMesh(q.Service))
 	}
 	slices.SortFunc(s.Resources, func(a, b mesh.Resource) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(s.Routes, func(a, b mesh.Route) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Routes, func(a, b *mesh.Route) int { return strings.Compare(a.Name, b.Name) })
 	return s
 }
 
 // toMesh converts r. owner is the service whose questionnaire declares r.
-func (r *Route) toMesh(owner string) mesh.Route {
-	return mesh.Route{
+func (r *Route) toMesh(owner string) *mesh.Route {
+	return &mesh.Route{
 		Name:       r.Name,
 		Methods:    sorted(r.Methods),
 		Prefix:     r.Path,
--- a/core/questionnaire/diff.go
+++ b/core/questionnaire/diff.go
@@ -131,8 +131,8 @@
 			MaxResponse: yamlcheck.Size(r.MaxResponseBytes),
 		})
 	}
-	for i := range s.Routes {
-		q.Routes = append(q.Routes, fromRoute(&s.Routes[i]))
+	for _, r := range s.Routes {
+		q.Routes = append(q.Routes, fromRoute(r))
 	}
 	return q
 }
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -57,9 +57,9 @@
 
 	// applyMu guards the fields below and is locked before mu.
 	applyMu sync.Mutex
-	// snapshot is the active release. releaseAt is the position of the last release item that
-	// was read; an invalid one leaves snapshot unchanged.
-	snapshot  *mesh.Snapshot
+	// builder builds the releases. releaseAt is the position of the last release item that was
+	// read; an invalid one leaves the active release unchanged.
+	builder   *mesh.Builder
 	releaseAt source.Position
 	// listChanges is the change count of the VM list that was applied last.
 	listChanges uint64
@@ -85,6 +85,7 @@
 		replica:      source.NewReplica(cfg.Replica, d),
 		machine:      spread.NewMachine(limits, id.VM, id.Domain, boot()),
 		decoder:      d,
+		builder:      mesh.NewBuilder(),
 		decided:      make(chan struct{}),
 		renewed:      make(chan struct{}),
 	}
@@ -281,8 +282,7 @@
 	p, err := f.decoder.Release(item.Value)
 	if err == nil {
 		var snap *mesh.Snapshot
-		if snap, err = mesh.BuildPublished(f.snapshot, p); err == nil {
-			f.snapshot = snap
+		if snap, err = f.builder.Build(p); err == nil {
 			f.command.ApplyRelease(snap)
 			return
 		}
--- a/node/proxy/egress/rig_test.go
+++ b/node/proxy/egress/rig_test.go
@@ -224,7 +224,7 @@
 		Priority: mesh.PriorityNormal,
 		Server:   mesh.Server{Slots: 2, Connections: 8, DrainPath: "/_drain"},
 		Stop:     mesh.Stop{Method: mesh.StopHTTP, Path: "/_stop", Grace: 60000}, Resources: []mesh.Resource{resource},
-		Routes: []mesh.Route{{
+		Routes: []*mesh.Route{{
 			Name: "book", Methods: []string{"GET", "POST", "HEAD"}, Prefix: "/seats", Service: "tickets", Resource: "seats",
 			Retry: mesh.Retry{Attempts: 1}, Deadline: 5000,
 		}},
@@ -232,7 +232,7 @@
 	shop := &mesh.Service{
 		Name: "shop", Hosts: []string{"shop.test"}, Callers: []string{"tickets"}, Server: mesh.Server{Slots: 1, Connections: 1},
 		Stop: mesh.Stop{Method: mesh.StopNone, Grace: 1000}, Resources: []mesh.Resource{resource},
-		Routes: []mesh.Route{{
+		Routes: []*mesh.Route{{
 			Name: "internal", Methods: []string{"GET"}, Prefix: "/", Service: "tickets", Resource: "seats",
 			Retry: mesh.Retry{Attempts: 1}, Deadline: 5000,
 		}},
--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -274,7 +274,7 @@
 		Server:    mesh.Server{Slots: 10, Connections: 110},
 		Stop:      mesh.Stop{Method: mesh.StopNone, Grace: 1000},
 		Resources: []mesh.Resource{{Name: "sessions", MaxRequestBytes: 1000, MaxResponseBytes: 1 << 20}},
-		Routes: []mesh.Route{
+		Routes: []*mesh.Route{
 			{
 				Name: "read", Methods: []string{"GET"}, Prefix: "/", Service: "programma", Resource: "sessions",
 				Idempotent: true, Retry: mesh.Retry{Attempts: 3, Statuses: []int{503}}, Deadline: 20_000,
--- a/node/proxy/ingress/vmlist_test.go
+++ b/node/proxy/ingress/vmlist_test.go
@@ -28,7 +28,7 @@
 // (mesh.Published), custom header names, and routes that name their hosts.
 func newPublishedFleet(t testing.TB, handlers ...handler) *fleet {
 	f := newFleet(t, handlers...)
-	service := func(name string, routes ...mesh.Route) *mesh.Service {
+	service := func(name string, routes ...*mesh.Route) *mesh.Service {
 		return &mesh.Service{
 			Name: name, Callers: []string{mesh.AnyCaller}, Priority: mesh.PriorityNormal,
 			Server:    mesh.Server{Connections: 10},
@@ -39,8 +39,8 @@
 		}
 	}
 	rank := 1
-	route := func(name, prefix string, idempotent bool, attempts int, split ...mesh.SplitPart) mesh.Route {
-		return mesh.Route{
+	route := func(name, prefix string, idempotent bool, attempts int, split ...mesh.SplitPart) *mesh.Route {
+		return &mesh.Route{
 			Name: name, Methods: []string{mesh.AnyMethod}, Host: "programma.example", Prefix: prefix, Service: "programma",
 			Resource: "all", Idempotent: idempotent, Split: split, Retry: mesh.Retry{Attempts: attempts}, Deadline: 20_000, Rank: &rank,
 		}
