--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -63,9 +63,9 @@
 
 	// applyMu guards the fields below and is locked before mu.
 	applyMu sync.Mutex
-	// snapshot is the active release. releaseAt is the position of the last release item that
-	// was read; an invalid one leaves snapshot unchanged.
-	snapshot  *mesh.Snapshot
+	// builder builds the releases. releaseAt is the position of the last release item that was
+	// read; an invalid one leaves the active release unchanged.
+	builder   *mesh.Builder
 	releaseAt source.Position
 	// listChanges is the change count of the VM list that was applied last.
 	listChanges uint64
@@ -91,6 +91,7 @@
 		replica:      source.NewReplica(cfg.Replica, d),
 		machine:      spread.NewMachine(limits, id.VM, id.Domain, boot()),
 		decoder:      d,
+		builder:      mesh.NewBuilder(),
 		decided:      make(chan struct{}),
 		renewed:      make(chan struct{}),
 	}
@@ -292,9 +293,8 @@
 	s.decoded, s.ownDecode = f.usage(), s.ownTime()
 	if err == nil {
 		var snap *mesh.Snapshot
-		if snap, err = mesh.BuildPublished(f.snapshot, p); err == nil {
+		if snap, err = f.builder.Build(p); err == nil {
 			s.built, s.ownBuild = f.usage(), s.ownTime()
-			f.snapshot = snap
 			f.command.ApplyRelease(snap)
 			s.applied, s.ownApply = f.usage(), s.ownTime()
 			f.reportInForce(snap.Version.Sequence, s)
