Build releases apart from receiving changes, the newest first

Cause: the goroutine that receives the changes of the store also built each release before it took the next message. Class: receiving, passing on and applying in one queue, while its age says that the copy is fresh.

One goroutine now builds, and always the newest release; the list has a lock of its own.

--- a/node/follow/bench_test.go
+++ b/node/follow/bench_test.go
@@ -84,6 +84,7 @@
 				if _, _, err := node.copySince(held); err != nil {
 					b.Fatal(err)
 				}
+				node.buildNewest()
 			}
 			take(copies[0])
 			b.ReportAllocs()
--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -180,15 +180,16 @@
 	items []source.Item
 }
 
-// add adds the release item that the node holds now.
-func (h *releaseHistory) add(item source.Item) {
+// add adds the release item that the node holds now, and reports whether it was not held before.
+func (h *releaseHistory) add(item source.Item) bool {
 	if n := len(h.items); n > 0 && h.items[n-1].Position().Compare(item.Position()) >= 0 {
-		return
+		return false
 	}
 	h.items = append(h.items, item)
 	if len(h.items) > keptReleases {
 		h.items = slices.Delete(h.items, 0, len(h.items)-keptReleases)
 	}
+	return true
 }
 
 // at returns the release item that a copy as of a position holds, or an empty item if it is not
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -61,14 +61,17 @@
 	// arrival is how the release item of the replica came.
 	arrival arrival
 
-	// applyMu guards the fields below and is locked before mu.
-	applyMu sync.Mutex
-	// builder builds the releases. releaseAt is the position of the last release item that was
-	// read; an invalid one leaves the active release unchanged.
+	// listMu guards listChanges, the change count of the VM list that was applied last. It is
+	// locked before mu.
+	listMu      sync.Mutex
+	listChanges uint64
+
+	// releaseChanged receives a value when the replica has another release item.
+	releaseChanged chan struct{}
+	// builder and releaseAt belong to buildReleases. releaseAt is the position of the last release
+	// item that was read; an invalid one leaves the active release unchanged.
 	builder   *mesh.Builder
 	releaseAt source.Position
-	// listChanges is the change count of the VM list that was applied last.
-	listChanges uint64
 }
 
 // New returns a follower that is idle until Run is called. boot is a clock that also counts
@@ -92,6 +95,8 @@
 		machine:      spread.NewMachine(limits, id.VM, id.Domain, boot()),
 		decoder:      d,
 		builder:      mesh.NewBuilder(),
+
+		releaseChanged: make(chan struct{}, 1),
 		decided:      make(chan struct{}),
 		renewed:      make(chan struct{}),
 	}
@@ -142,6 +147,7 @@
 	tasks.Go(func() { f.control(ctx) })
 	tasks.Go(func() { f.askPeers(ctx) })
 	tasks.Go(func() { f.expire(ctx) })
+	tasks.Go(func() { f.buildReleases(ctx) })
 	f.readStore(ctx)
 }
 
@@ -245,23 +251,23 @@
 // renewLocked tells the nodes that follow this one that the copy changed or was confirmed. The
 // caller holds mu.
 func (f *Follower) renewLocked() {
-	if item, found := f.replica.Release(); found {
-		f.releases.add(item)
+	if item, found := f.replica.Release(); found && f.releases.add(item) {
+		select {
+		case f.releaseChanged <- struct{}{}:
+		default:
+		}
 	}
 	close(f.renewed)
 	f.renewed = make(chan struct{})
 	f.signalSteer()
 }
 
-// applyReplica applies the replica's release and VM list if they changed. It does not hold mu
-// while it builds them, so that changes are passed on meanwhile.
-func (f *Follower) applyReplica() {
-	f.applyMu.Lock()
-	defer f.applyMu.Unlock()
+// applyList applies the replica's VM list if it changed. It never waits for a release to be built.
+func (f *Follower) applyList() {
+	f.listMu.Lock()
+	defer f.listMu.Unlock()
 	f.mu.Lock()
-	problems := f.replica.DecodeErrors()
-	item, found := f.replica.Release()
-	changes, came := f.replica.ListChanges(), f.arrival
+	problems, changes := f.replica.DecodeErrors(), f.replica.ListChanges()
 	var vms []vmlist.VM
 	if changes != f.listChanges {
 		vms = f.replica.VMs()
@@ -272,17 +278,37 @@
 	for _, problem := range problems {
 		f.log.Warn().Err(problem).Str("event", "entry-unreadable").Msg("entry of a server could not be decoded; ignoring it")
 	}
-	// The list first: building a large release must not delay that a server is leaving.
 	if changes != f.listChanges {
 		f.listChanges = changes
 		f.command.ApplyVMList(&vmlist.List{Revision: changes, VMs: vms})
 	}
+}
+
+// buildReleases brings the newest release item of the replica in force until ctx ends. Those that
+// come while one is built are skipped but for the last.
+func (f *Follower) buildReleases(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.releaseChanged:
+			f.buildNewest()
+		}
+	}
+}
+
+// buildNewest applies the release item of the replica unless it was read already.
+func (f *Follower) buildNewest() {
+	f.mu.Lock()
+	item, found := f.replica.Release()
+	came := f.arrival
+	f.mu.Unlock()
 	if found && item.Position() != f.releaseAt {
 		f.applyRelease(item, came)
 	}
 }
 
-// applyRelease applies a release item if it is valid. The caller holds applyMu.
+// applyRelease applies a release item if it is valid.
 func (f *Follower) applyRelease(item source.Item, came arrival) {
 	// The processor time of the thread is that of this work alone.
 	runtime.LockOSThread()
@@ -316,7 +342,7 @@
 			f.mu.Lock()
 			f.replica.Expire(now)
 			f.mu.Unlock()
-			f.applyReplica()
+			f.applyList()
 		}
 	}
 }
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -211,7 +211,7 @@
 	came.received.at = received
 	changed, err := f.mergeCopy(c, came)
 	if changed {
-		f.applyReplica()
+		f.applyList()
 	}
 	return received - age, err
 }
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -105,7 +105,7 @@
 	f.log.Info().Str("event", "store-read").Uint64("era", at.Era).Uint64("revision", at.Revision).
 		Uint64("held_era", held.Era).Uint64("held_revision", held.Revision).
 		Int("items", len(items)).Msg("all items of the store were read")
-	f.applyReplica()
+	f.applyList()
 	return nil
 }
 
@@ -211,7 +211,7 @@
 		f.renewLocked()
 	}
 	f.mu.Unlock()
-	f.applyReplica()
+	f.applyList()
 }
 
 // watchWait returns how long the next watch may wait. It is 0 after a failure, so that the copy
