Apply patches of the latest releases, not only of the one held

A node keeps its latest four releases as bases for others; it now accepts patches of them too. The sum of the result is checked as before.

--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -118,7 +118,7 @@
 	if c.GetAfter() > 0 && (after.Era != held.Era || after.Revision > held.Revision) {
 		return errGap
 	}
-	changes, err := decodeChanges(c.GetItems(), f.replica.Value)
+	changes, err := decodeChanges(c.GetItems(), f.baseLocked)
 	if err != nil {
 		return err
 	}
@@ -139,6 +139,16 @@
 	return nil
 }
 
+// baseLocked returns the value of a key as of a position: that of the replica, or of one of the
+// latest releases. The caller holds mu.
+func (f *Follower) baseLocked(key string, at source.Position) ([]byte, bool) {
+	if value, found := f.replica.Value(key, at); found {
+		return value, true
+	}
+	item := f.releases.at(at)
+	return item.Value, item.Key == key && item.Position() == at
+}
+
 // encodedChanges keeps the latest encoded sets of changes: the nodes that follow this one mostly
 // need the same. It is not safe for concurrent use.
 type encodedChanges struct {
