No 404 while a newer configuration may have the route

Cause: a node without a route for a request said so finally, although it held a newer release that it had not built yet, or had not heard of the store for longer than a change may take. Class: a final claim from knowledge of unknown age.

Such a request is refused as not run (503, Retry-After 0.25 s) unless each release that was confirmed apply_within ago is active. Then a 404 is never older than the bound. While the store is away for all, requests without a route get 503 too: a node can't tell that from being cut off alone.

--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -60,6 +60,8 @@
 	releases releaseHistory
 	// arrival is how the release item of the replica came.
 	arrival arrival
+	// pending is set while the replica holds a release item that was not read yet.
+	pending bool
 
 	// listMu guards listChanges, the change count of the VM list that was applied last. It is
 	// locked before mu.
@@ -97,8 +99,8 @@
 		builder:      mesh.NewBuilder(),
 
 		releaseChanged: make(chan struct{}, 1),
-		decided:      make(chan struct{}),
-		renewed:      make(chan struct{}),
+		decided:        make(chan struct{}),
+		renewed:        make(chan struct{}),
 	}
 }
 
@@ -126,6 +128,18 @@
 	return s
 }
 
+// Current reports whether each release that was confirmed ApplyWithin ago or earlier is active,
+// unless it was invalid.
+func (f *Follower) Current() bool {
+	within := f.cfg.ApplyWithin
+	if f.cfg.Reading == ReadByAll {
+		within += f.cfg.WatchWait
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.pending && f.machine.Age(f.boot()) <= within
+}
+
 // Stop ends Run and the streams to the nodes that follow this one, which then turn to others.
 // What the node holds stays in force. It may be called repeatedly and from any goroutine.
 func (f *Follower) Stop() { f.stopOnce.Do(func() { close(f.stopped) }) }
@@ -252,6 +266,7 @@
 // caller holds mu.
 func (f *Follower) renewLocked() {
 	if item, found := f.replica.Release(); found && f.releases.add(item) {
+		f.pending = true
 		select {
 		case f.releaseChanged <- struct{}{}:
 		default:
@@ -306,6 +321,11 @@
 	if found && item.Position() != f.releaseAt {
 		f.applyRelease(item, came)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if newest, _ := f.replica.Release(); newest.Position() == item.Position() {
+		f.pending = false
+	}
 }
 
 // applyRelease applies a release item if it is valid.
--- a/node/follow/series_test.go
+++ b/node/follow/series_test.go
@@ -37,3 +37,21 @@
 		})
 	})
 }
+
+// Guards against a 404 for a route that the node may have missed.
+func TestOldCopyIsNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node that has not heard of the store for the bound does not count as current until it does", t, func() {
+			store, r := startWithOneRelease()
+			defer r.stop()
+			time.Sleep(time.Minute)
+			So(r.Current(), ShouldBeTrue)
+			store.change(func() { store.down = true })
+			time.Sleep(2 * r.cfg.ApplyWithin)
+			So(r.Current(), ShouldBeFalse)
+			store.change(func() { store.down = false })
+			time.Sleep(2 * r.cfg.ApplyWithin)
+			So(r.Current(), ShouldBeTrue)
+		})
+	})
+}
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -47,6 +47,9 @@
 	// Paused reports whether a recent process pause was long enough for the configuration
 	// to be stale; nil means never.
 	Paused func(now time.Time) bool
+	// Current reports whether the active release is the newest that may be confirmed; nil means
+	// always. While it is not, a request without a route may have one in the newest release.
+	Current func() bool
 	// Announcements receives what backend servers announced to their nodes; nil if the
 	// headers name no announcements.
 	Announcements proxy.AnnouncementRecorder
--- a/node/proxy/ingress/request.go
+++ b/node/proxy/ingress/request.go
@@ -63,6 +63,7 @@
 	defer g.active.Add(-1)
 	if status, reason := r.check(); status != 0 {
 		g.refuse(r.exchange, status, reason)
+		r.setRetryAfter(status)
 	} else {
 		g.forward(r)
 	}
@@ -80,6 +81,8 @@
 		return fasthttp.StatusServiceUnavailable, "this node is about to end"
 	case r.snapshot == nil || g.configStale():
 		return fasthttp.StatusServiceUnavailable, "this node holds no current release yet"
+	case m == nil && g.Current != nil && !g.Current():
+		return fasthttp.StatusServiceUnavailable, "no route matches, but this node may not have the newest configuration yet"
 	case m == nil:
 		return fasthttp.StatusNotFound, "no route matches this host, method and path"
 	case !m.Owner.Allows(g.Caller):
@@ -93,6 +96,16 @@
 	}
 }
 
+// outdatedRetryAfter is when to ask again for a route that this node may not know yet.
+const outdatedRetryAfter = 250 * time.Millisecond
+
+// setRetryAfter says when to come back after a refusal for which another configuration is needed.
+func (r *request) setRetryAfter(status int) {
+	if status == fasthttp.StatusServiceUnavailable && r.snapshot != nil && r.match == nil {
+		r.exchange.Response.Header.Set(fasthttp.HeaderRetryAfter, r.ingress.formatRetryAfter(outdatedRetryAfter))
+	}
+}
+
 // configStale reports whether the node must first check with its peers for newer
 // configuration.
 func (g *Ingress) configStale() bool {
--- a/node/run.go
+++ b/node/run.go
@@ -220,6 +220,7 @@
 	}
 	if n.store != nil {
 		in.Headers = n.store.Headers
+		in.Current = n.follower.Current
 		in.Announcements = n.command
 		in.Draining = n.stopper.stopping.Load
 		in.Closed = n.stopper.refusingCallers.Load
