Show that changes are received only between builds

The goroutine that receives changes also decodes and builds the release. The next message is read, merged and passed on only after that, so each node between the store and another one adds the build of the version before, and a backlog of messages is built one by one instead of the newest only. The test blocks the build of version 2: version 3 does not reach the node's copy.

--- /dev/null
+++ b/node/follow/stream_test.go
@@ -0,0 +1,153 @@
+package follow
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/source"
+	"auburnladder.example/core/spread"
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/command"
+	"auburnladder.example/node/state"
+	"auburnladder.example/wire/peerpb"
+	"auburnladder.example/wire/session"
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+)
+
+// hookDecoder is a plainDecoder that calls onRelease before it decodes a release after the first.
+type hookDecoder struct {
+	plainDecoder
+	onRelease func()
+}
+
+func (d hookDecoder) Release(value []byte) (*mesh.Published, error) {
+	if len(value) > 0 && value[0] > 1 {
+		d.onRelease()
+	}
+	return d.plainDecoder.Release(value)
+}
+
+// pair is a node that takes changes from its parent over one stream. Neither of them runs, and
+// the test moves their clock.
+type pair struct {
+	parent, child *Follower
+	parentVM      vmlist.VM
+	// asked receives a value when the parent has read the child's request.
+	asked  chan struct{}
+	clock  atomic.Int64
+	closes []func()
+	tasks  conc.WaitGroup
+}
+
+func newPair(t *testing.T, onRelease func()) *pair {
+	p := &pair{asked: make(chan struct{}, 1)}
+	p.clock.Store(int64(time.Hour))
+	root, other := rootOf("10.0.0.1", "10.0.0.2")
+	p.parentVM = vmlist.VM{ID: root, Peer: netip.MustParseAddrPort(root + ":1")}
+	near, far := connPair(t)
+	client, err := session.Client(near, session.DefaultConfig())
+	So(err, ShouldBeNil)
+	server, err := session.Server(far, session.DefaultConfig())
+	So(err, ShouldBeNil)
+	p.parent = p.follower(root, plainDecoder{}, noPeers{})
+	p.child = p.follower(other, hookDecoder{onRelease: onRelease}, &copyPeer{ses: client})
+	p.change(source.Item{Key: "config", Value: []byte("\x01"), Revision: 1}, vmEntry(root, 2), vmEntry(other, 3))
+	p.tasks.Go(func() { p.serve(server) })
+	p.closes = append(p.closes, client.Close, server.Close)
+	return p
+}
+
+// vmEntry returns the entry of a VM's server.
+func vmEntry(vm string, revision uint64) source.Item {
+	return source.Item{Key: vm, Value: []byte{}, Revision: revision}
+}
+
+// rootOf returns the VM of the two that reads the store, and the other one.
+func rootOf(a, b string) (root, other string) {
+	none := func(string) bool { return false }
+	if spread.NewTree([]vmlist.VM{{ID: a}, {ID: b}}).Place(a, "", 6, none).Parent == nil {
+		return a, b
+	}
+	return b, a
+}
+
+func (p *pair) follower(vm string, d source.Decoder, peers Peers) *Follower {
+	cmd := &command.Commander{State: state.New(state.Identity{VM: vm}), Log: zerolog.Nop(), Now: time.Now}
+	return New(DefaultConfig(), newFakeStore(), d, peers, cmd, p.now, zerolog.Nop())
+}
+
+func (p *pair) now() time.Duration { return time.Duration(p.clock.Load()) }
+
+func (p *pair) serve(server *session.Session) {
+	st, err := server.Accept()
+	if err != nil {
+		return
+	}
+	defer st.Close()
+	var req peerpb.Request
+	if st.Recv(&req) == nil {
+		p.asked <- struct{}{}
+		p.parent.ServeStream(&req, st)
+	}
+}
+
+// follow makes the child take changes from the parent until close.
+func (p *pair) follow() {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.closes = append(p.closes, cancel)
+	p.tasks.Go(func() { _ = p.child.receiveFrom(ctx, p.parentVM, source.Position{}) })
+}
+
+// change writes items to the parent's copy, which is then complete as of now. An item without a
+// value is removed.
+func (p *pair) change(items ...source.Item) {
+	p.parent.mu.Lock()
+	defer p.parent.mu.Unlock()
+	p.changeLocked(items...)
+}
+
+func (p *pair) changeLocked(items ...source.Item) {
+	c := source.Changes{}
+	for _, item := range items {
+		c.Changes = append(c.Changes, source.Change{Item: item, Removed: item.Value == nil})
+		c.Revision = item.Revision
+	}
+	p.parent.replica.Apply(time.Now(), c)
+	p.parent.machine.StoreRead(p.now())
+	p.parent.renewLocked()
+}
+
+// awaitChild waits until the child's copy includes a revision.
+func (p *pair) awaitChild(t *testing.T, revision uint64) {
+	eventually(t, func() bool { return p.child.position().Revision >= revision })
+}
+
+func (p *pair) close() {
+	for _, f := range p.closes {
+		f()
+	}
+	p.parent.Stop()
+	p.tasks.Wait()
+}
+
+// Guards against the next change being read, and passed on, only after a build.
+func TestChangesReadDuringBuild(t *testing.T) {
+	Convey("While a node builds a release, its copy gets the next change of its parent", t, func() {
+		gate := make(chan struct{})
+		p := newPair(t, func() { <-gate })
+		defer p.close()
+		defer close(gate)
+		p.follow()
+		p.awaitChild(t, 3)
+		p.change(source.Item{Key: "config", Value: []byte("\x02"), Revision: 4})
+		p.awaitChild(t, 4)
+		p.change(source.Item{Key: "config", Value: []byte("\x03"), Revision: 5})
+		p.awaitChild(t, 5)
+	})
+}
