Show that a leaving server waits for the build of a release

Requests reach a server that left (DRAIN) because the VM list goes the way of the configuration: its change is received after the build, and applied under the lock that the build holds. The test blocks the build of a release and removes a server meanwhile: it stays listed.

--- a/node/follow/stream_test.go
+++ b/node/follow/stream_test.go
@@ -151,3 +151,21 @@
 		p.awaitChild(t, 5)
 	})
 }
+
+// Guards against requests to a server that left, while the node builds a release.
+func TestServerLeavesDuringBuild(t *testing.T) {
+	Convey("A server that leaves while a release is built is no longer listed", t, func() {
+		gate := make(chan struct{})
+		p := newPair(t, func() { <-gate })
+		defer p.close()
+		defer close(gate)
+		p.change(vmEntry("10.0.0.9", 4))
+		p.follow()
+		listed := func() bool { return p.child.command.State.Fleet().VM("10.0.0.9") != nil }
+		eventually(t, listed)
+		p.change(source.Item{Key: "config", Value: []byte("\x02"), Revision: 5})
+		p.awaitChild(t, 5)
+		p.change(source.Item{Key: "10.0.0.9", Revision: 6})
+		eventually(t, func() bool { return !listed() })
+	})
+}
