Show that a slow build makes a node leave its parent

A message of the parent counts as heard only after the release in it was built. Until then the age of the copy runs on, from up to 0.35 of the bound. From 0.5 on the node suspects its parent, and takes a whole copy from another one, which costs more time.

--- a/node/follow/stream_test.go
+++ b/node/follow/stream_test.go
@@ -84,6 +84,11 @@
 
 func (p *pair) now() time.Duration { return time.Duration(p.clock.Load()) }
 
+// pass moves the clock by a fraction of the time within which changes must be applied.
+func (p *pair) pass(share float64) {
+	p.clock.Add(int64(share * float64(p.child.cfg.ApplyWithin)))
+}
+
 func (p *pair) serve(server *session.Session) {
 	st, err := server.Accept()
 	if err != nil {
@@ -136,6 +141,27 @@
 	p.tasks.Wait()
 }
 
+// Guards against a node that leaves its parent because of its own slow build.
+func TestParentKeptDuringBuild(t *testing.T) {
+	Convey("A node that builds a release for a third of the bound keeps the parent that sent it", t, func() {
+		parents := make(chan string, 1)
+		var p *pair
+		p = newPair(t, func() {
+			p.pass(0.3)
+			parents <- vmID(p.child.decide().Parent)
+		})
+		defer p.close()
+		p.follow()
+		eventually(t, func() bool { return p.child.command.State.Snapshot() != nil })
+		So(vmID(p.child.decide().Parent), ShouldEqual, p.parentVM.ID)
+		p.change(vmEntry(p.parentVM.ID, 4))
+		p.awaitChild(t, 4)
+		p.pass(0.3)
+		p.change(source.Item{Key: "config", Value: []byte("\x02"), Revision: 5})
+		So(<-parents, ShouldEqual, p.parentVM.ID)
+	})
+}
+
 // Guards against the next change being read, and passed on, only after a build.
 func TestChangesReadDuringBuild(t *testing.T) {
 	Convey("While a node builds a release, its copy gets the next change of its parent", t, func() {
