Show that a late first message makes all later ones count as old

The time from the request to a stream's first message counts as a difference of the clocks, for one to two minutes. If the parent was busy for 0.4 of the bound, all later messages seem to be that old, here and at all nodes behind this one; they then ask others, change their parent and read the store although each change arrives at once.

--- a/node/follow/stream_test.go
+++ b/node/follow/stream_test.go
@@ -195,3 +195,25 @@
 		eventually(t, func() bool { return !listed() })
 	})
 }
+
+// Guards against copies that count as old for minutes because the first message of their stream
+// was late: the node then asks others and changes its parent all the time.
+func TestAgeAfterLateFirstMessage(t *testing.T) {
+	Convey("A parent's later messages are fresh although it took long to send the first one", t, func() {
+		p := newPair(t, func() {})
+		defer p.close()
+		p.parent.mu.Lock()
+		p.follow()
+		<-p.asked
+		p.pass(0.4)
+		p.changeLocked(vmEntry(p.parentVM.ID, 4))
+		p.parent.mu.Unlock()
+		p.awaitChild(t, 4)
+		for revision := uint64(5); revision < 7; revision++ {
+			p.pass(0.3)
+			p.change(vmEntry(p.parentVM.ID, revision))
+			p.awaitChild(t, revision)
+		}
+		So(p.child.Status().Age, ShouldBeLessThan, p.child.cfg.ApplyWithin*31/100)
+	})
+}
