--- a/node/follow/patch_test.go
+++ b/node/follow/patch_test.go
@@ -72,3 +72,18 @@
 		So(len(c.GetItems()), ShouldBeLessThan, len(largeRelease(2, 9).Value)/10)
 	})
 }
+
+// Guards against a whole copy of a large release because the node already has a newer release
+// than the one to which its parent's patch applies.
+func TestPatchOfAnEarlierRelease(t *testing.T) {
+	Convey("A patch of the release before the one that the node holds is applied", t, func() {
+		parent, child := idleFollower(largeRelease(1, 5)), idleFollower(largeRelease(1, 5))
+		child.advance(largeRelease(2, 9))
+		parent.advance(largeRelease(3, 12))
+		c, _, err := parent.copySince(source.Position{Revision: 5}, true)
+		So(err, ShouldBeNil)
+		_, err = child.applyCopy(c, new(messageDelays))
+		So(err, ShouldBeNil)
+		So(child.position().Revision, ShouldEqual, 12)
+	})
+}
