Show that one node that reads all items makes all others copy them

Replace forgets which changes the replica knew. After the root has read all items again, because the store dropped its history, each node behind it gets the whole copy, does the same, and sends whole copies on. The replica knows what changed from its former position, as it compares both sets of items.

--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -248,3 +248,20 @@
 		}
 	})
 }
+
+// Guards against whole copies for all nodes after one of them has read all items again.
+func TestChangesAcrossReplace(t *testing.T) {
+	Convey("A replica whose items were replaced still knows what changed since the position that it had before", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		now := time.Now()
+		r.Replace(now, []Item{{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("1"), Revision: 4}}, Position{Revision: 10})
+		r.Replace(now, []Item{{Key: "a", Value: []byte("2"), Revision: 15}}, Position{Revision: 20})
+		So(r.Knows(Position{Revision: 10}), ShouldBeTrue)
+		So(r.Knows(Position{Revision: 15}), ShouldBeFalse)
+		changes := r.Since(Position{Revision: 10})
+		So(changes, ShouldHaveLength, 2)
+		So(changes[0].Key, ShouldEqual, "a")
+		So(changes[1].Key, ShouldEqual, "b")
+		So(changes[1].Removed, ShouldBeTrue)
+	})
+}
