--- a/node/follow/work_test.go
+++ b/node/follow/work_test.go
@@ -64,13 +64,13 @@
 	})
 }
 
-// gatedDecoder blocks on release 2 until gate is closed, and closes reached before.
-type gatedDecoder struct {
+// steppedDecoder blocks on release 2 until gate is closed, and closes reached before.
+type steppedDecoder struct {
 	plainDecoder
 	reached, gate chan struct{}
 }
 
-func (d gatedDecoder) Release(value []byte) (*mesh.Published, error) {
+func (d steppedDecoder) Release(value []byte) (*mesh.Published, error) {
 	if value[0] == 2 {
 		close(d.reached)
 		<-d.gate
@@ -82,7 +82,7 @@
 // it has applied the one before.
 func TestChangeWaitsForApplyingTheOneBefore(t *testing.T) {
 	Convey("While a node applies a release, it takes the next one and passes it on", t, func() {
-		store, decoder := newFakeStore(), gatedDecoder{reached: make(chan struct{}), gate: make(chan struct{})}
+		store, decoder := newFakeStore(), steppedDecoder{reached: make(chan struct{}), gate: make(chan struct{})}
 		store.put("config", "\x01")
 		cmd := &command.Commander{State: state.New(state.Identity{VM: "10.0.0.1"}), Log: zerolog.Nop(), Now: time.Now}
 		f := New(DefaultConfig(), store, decoder, noPeers{}, cmd, bootClock(), zerolog.Nop())
