--- a/node/follow/stream_test.go
+++ b/node/follow/stream_test.go
@@ -107,6 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.closes = append(p.closes, cancel)
 	p.tasks.Go(func() { _ = p.child.receiveFrom(ctx, p.parentVM, source.Position{}) })
+	p.tasks.Go(func() { p.child.buildReleases(ctx) })
 }
 
 // change writes items to the parent's copy, which is then complete as of now. An item without a
