--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -85,16 +85,12 @@
 // holds a response and the caller must finish the attempt. The error carries the verdict on
 // the call.
 func (c *call) run() (*attempt, error) {
-	table := c.ingress.Router.Table(c.target.Name)
-	if table == nil {
-		return nil, verdict.Wrap(verdict.NotRun, errNoServer)
-	}
 	var last *attempt
 	for {
 		if c.quarantined() {
 			return c.result(last, retry.Decision{Reason: retry.Quarantined})
 		}
-		picked := c.picker().Pick(time.Now(), randomSource{}, table, c.tried)
+		picked := c.pick()
 		if picked.Endpoint == nil {
 			c.recordRetryAfter(picked.Wait)
 			return c.result(last, retry.Decision{Reason: retry.NoServer})
@@ -121,6 +117,16 @@
 	}
 }
 
+// pick picks the server of the next attempt from the list as it is now: one that was used for an
+// earlier attempt may have left since.
+func (c *call) pick() routing.PickResult {
+	table := c.ingress.Router.Table(c.target.Name)
+	if table == nil {
+		return routing.PickResult{}
+	}
+	return c.picker().Pick(time.Now(), randomSource{}, table, c.tried)
+}
+
 // quarantined reports whether the request must not be sent to a server. It then sets
 // retryAfter to the time that this will last.
 func (c *call) quarantined() bool {
