Don't count a sender's delay before its first message as the delay of all later ones

Cause: the clocks of two VMs are related by the request of a stream: it was not received before it was sent. The time for which a busy sender held the request counted as part of that relation, so that each message of the stream counted as older by it for one to two minutes. 0.25 s suffice to ask others, 0.38 s to leave the parent, and each node below inherits the age. Class: lateness of a moment that is remembered as lateness for good, and answered with more work.

The first message says how long its sender held the request.

--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -24,13 +24,13 @@
 	if r == nil {
 		return false
 	}
-	f.sendCopies(st, source.Position{Era: r.GetEra(), Revision: r.GetAfter()}, r.GetFollow())
+	f.sendCopies(st, source.Position{Era: r.GetEra(), Revision: r.GetAfter()}, r.GetFollow(), f.boot())
 	return true
 }
 
 // sendCopies sends what is newer than a position, and if follow is set, each further change
-// and confirmation until the stream ends.
-func (f *Follower) sendCopies(st *session.Stream, after source.Position, follow bool) {
+// and confirmation until the stream ends. asked is when the request was received.
+func (f *Follower) sendCopies(st *session.Stream, after source.Position, follow bool, asked time.Duration) {
 	ended := make(chan struct{})
 	if follow {
 		var watcher conc.WaitGroup
@@ -41,12 +41,15 @@
 			st.AwaitEnd()
 		})
 	}
-	for {
+	for first := true; ; first = false {
 		c, renewed, err := f.copySince(after)
 		if err != nil {
 			f.log.Error().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be encoded")
 			return
 		}
+		if first {
+			c.HeldUs = c.GetSentUs() - asked.Microseconds()
+		}
 		st.SetWriteDeadline(time.Now().Add(sendTimeout))
 		began := f.boot()
 		if err := st.Send(c); err != nil {
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -93,8 +93,8 @@
 }
 
 // messageDelays bounds how long the messages of a stream were under way, although the clocks of
-// the two VMs have nothing in common. The first message was not sent before it was asked for;
-// later ones are compared with the fastest ones.
+// the two VMs have nothing in common. The request was not received before it was sent; messages
+// are compared with it and with the fastest ones.
 type messageDelays struct {
 	// asked is when the stream was opened, by the local clock.
 	asked     time.Duration
@@ -104,11 +104,12 @@
 	via, from string
 }
 
-// delay returns an upper bound of the delay of a message, but for a delay that lasts. sent is by the clock of the sender.
-func (d *messageDelays) delay(sent, received time.Duration) time.Duration {
+// delay returns an upper bound of the delay of a message, but for a delay that lasts. sent is by the
+// clock of the sender, which had held the request for a time if this is its first message.
+func (d *messageDelays) delay(sent, held, received time.Duration) time.Duration {
 	if !d.started {
 		d.started = true
-		d.estimator.Excess(sent, d.asked)
+		d.estimator.Excess(sent-held, d.asked)
 	}
 	return d.estimator.Excess(sent, received)
 }
@@ -192,6 +193,8 @@
 	return positionOf(&c), nil
 }
 
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 var (
 	errEmptyPeer = errors.New("the peer holds no copy yet")
 	errGap       = errors.New("the peer's changes begin after the local position")
@@ -205,8 +208,8 @@
 	if c.GetRevision() == 0 {
 		return 0, errEmptyPeer
 	}
-	transit := delays.delay(time.Duration(c.GetSentUs())*time.Microsecond, received)
-	age := time.Duration(c.GetAgeUs())*time.Microsecond + transit
+	transit := delays.delay(microseconds(c.GetSentUs()), microseconds(c.GetHeldUs()), received)
+	age := microseconds(c.GetAgeUs()) + transit
 	came := arrival{via: delays.via, from: delays.from, whole: c.GetAfter() == 0, bytes: len(c.GetItems()), transit: transit}
 	came.received.at = received
 	changed, err := f.mergeCopy(c, came)
--- a/node/follow/spread_test.go
+++ b/node/follow/spread_test.go
@@ -92,10 +92,10 @@
 		for _, offset := range []time.Duration{-time.Hour, 0, time.Hour} {
 			d := messageDelays{asked: 10 * time.Second}
 			sent := 10*time.Second + time.Millisecond + offset
-			So(d.delay(sent, 12*time.Second), ShouldEqual, 2*time.Second)
+			So(d.delay(sent, 0, 12*time.Second), ShouldEqual, 2*time.Second)
 			// Three seconds later, two milliseconds under way: 1 ms of the request is not known apart.
-			So(d.delay(sent+3*time.Second, 13*time.Second+3*time.Millisecond), ShouldEqual, 3*time.Millisecond)
-			So(d.delay(sent+4*time.Second, 15*time.Second), ShouldEqual, time.Second)
+			So(d.delay(sent+3*time.Second, 0, 13*time.Second+3*time.Millisecond), ShouldEqual, 3*time.Millisecond)
+			So(d.delay(sent+4*time.Second, 0, 15*time.Second), ShouldEqual, time.Second)
 		}
 	})
 }
--- a/node/follow/stream_test.go
+++ b/node/follow/stream_test.go
@@ -38,7 +38,7 @@
 type pair struct {
 	parent, child *Follower
 	parentVM      vmlist.VM
-	// asked receives a value when the parent has read the child's request.
+	// asked receives a value when the parent has noted the arrival of the child's request.
 	asked  chan struct{}
 	clock  atomic.Int64
 	closes []func()
@@ -58,6 +58,8 @@
 	p.parent = p.follower(root, plainDecoder{}, noPeers{})
 	p.child = p.follower(other, hookDecoder{onRelease: onRelease}, &copyPeer{ses: client})
 	p.change(source.Item{Key: "config", Value: []byte("\x01"), Revision: 1}, vmEntry(root, 2), vmEntry(other, 3))
+	// The parent has read its clock before, for the changes above.
+	p.parent.boot = p.noteAsked
 	p.tasks.Go(func() { p.serve(server) })
 	p.closes = append(p.closes, client.Close, server.Close)
 	return p
@@ -84,6 +86,16 @@
 
 func (p *pair) now() time.Duration { return time.Duration(p.clock.Load()) }
 
+// noteAsked is the clock of the parent.
+func (p *pair) noteAsked() time.Duration {
+	now := p.now()
+	select {
+	case p.asked <- struct{}{}:
+	default:
+	}
+	return now
+}
+
 // pass moves the clock by a fraction of the time within which changes must be applied.
 func (p *pair) pass(share float64) {
 	p.clock.Add(int64(share * float64(p.child.cfg.ApplyWithin)))
@@ -97,7 +109,6 @@
 	defer st.Close()
 	var req peerpb.Request
 	if st.Recv(&req) == nil {
-		p.asked <- struct{}{}
 		p.parent.ServeStream(&req, st)
 	}
 }
