--- a/core/mesh/source.go
+++ b/core/mesh/source.go
@@ -166,11 +166,14 @@
 	return release.ChunkRef{Name: svc.Name, Digest: release.Digest(hash.Sum(nil)), Size: size}, nil
 }
 
+// typicalRouteBytes is the size of the encoding of most routes.
+const typicalRouteBytes = 256
+
 // encodeRoute returns the encoding of a valid route.
 func (b *Builder) encodeRoute(r *Route) (*builtRoute, error) {
 	built := b.routes[r]
 	if built == nil {
-		data, err := json.Marshal(r)
+		data, err := appendRoute(make([]byte, 0, typicalRouteBytes), r)
 		if err != nil {
 			return nil, err
 		}
