Let requests run while a release is decoded and built

Class: a long piece of work on the processor that requests need for each of their hops.

The thread is no longer locked for the measurement of its own time, which costs a switch of threads at each yield; the field names own are gone from release-in-force.

--- a/core/mesh/source.go
+++ b/core/mesh/source.go
@@ -25,7 +25,7 @@
 // BuildPublished is Builder.Build with a new builder that knows the previous snapshot, which may
 // be nil.
 func BuildPublished(previous *Snapshot, p *Published) (*Snapshot, error) {
-	b := NewBuilder()
+	b := NewBuilder(func() {})
 	b.previous = previous
 	return b.Build(p)
 }
@@ -33,6 +33,7 @@
 // Builder builds the snapshots of successive published releases. What it has checked and
 // encoded once, it does not check and encode again. It is not safe for concurrent use.
 type Builder struct {
+	yield    func()
 	previous *Snapshot
 	// services holds the services of the last release by name.
 	services map[string]*builtService
@@ -55,11 +56,15 @@
 	used uint64
 }
 
-// NewBuilder returns a builder that knows no release.
-func NewBuilder() *Builder {
-	return &Builder{services: make(map[string]*builtService), routes: make(map[*Route]*builtRoute)}
+// NewBuilder returns a builder that knows no release. It calls yield now and then while it works,
+// so that others get the processor.
+func NewBuilder(yield func()) *Builder {
+	return &Builder{yield: yield, services: make(map[string]*builtService), routes: make(map[*Route]*builtRoute)}
 }
 
+// yieldRoutes is the number of routes between two calls of Builder.yield.
+const yieldRoutes = 256
+
 // Build takes over the services of p and their routes, which must not be changed afterwards. It
 // encodes p as a release and builds its snapshot. On an error it returns no snapshot, and p is
 // forgotten.
@@ -151,6 +156,9 @@
 	size := len(settings)
 	hash.Write(settings[:at])
 	for i, r := range svc.Routes {
+		if i%yieldRoutes == 0 {
+			b.yield()
+		}
 		route, err := b.encodeRoute(r)
 		if err != nil {
 			return release.ChunkRef{}, fmt.Errorf("service %q: %w", svc.Name, err)
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -96,7 +96,7 @@
 		replica:      source.NewReplica(cfg.Replica, d),
 		machine:      spread.NewMachine(limits, id.VM, id.Domain, boot()),
 		decoder:      d,
-		builder:      mesh.NewBuilder(),
+		builder:      mesh.NewBuilder(runtime.Gosched),
 
 		releaseChanged: make(chan struct{}, 1),
 		decided:        make(chan struct{}),
@@ -330,19 +330,16 @@
 
 // applyRelease applies a release item if it is valid.
 func (f *Follower) applyRelease(item source.Item, came arrival) {
-	// The processor time of the thread is that of this work alone.
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	s := &stages{arrival: came, began: f.usage(), ownAt: processorTime(rusageThread)}
+	s := &stages{arrival: came, began: f.usage()}
 	f.releaseAt = item.Position()
 	p, err := f.decoder.Release(item.Value)
-	s.decoded, s.ownDecode = f.usage(), s.ownTime()
+	s.decoded = f.usage()
 	if err == nil {
 		var snap *mesh.Snapshot
 		if snap, err = f.builder.Build(p); err == nil {
-			s.built, s.ownBuild = f.usage(), s.ownTime()
+			s.built = f.usage()
 			f.command.ApplyRelease(snap)
-			s.applied, s.ownApply = f.usage(), s.ownTime()
+			s.applied = f.usage()
 			f.reportInForce(snap.Version.Sequence, s)
 			return
 		}
--- a/node/follow/metrics.go
+++ b/node/follow/metrics.go
@@ -84,21 +84,18 @@
 }
 
 func (f *Follower) usage() usage {
-	return usage{at: f.boot(), cpu: processorTime(syscall.RUSAGE_SELF)}
+	return usage{at: f.boot(), cpu: processorTime()}
 }
 
-// processorTime returns the user and system time of the process, or of the calling thread.
-func processorTime(who int) time.Duration {
+// processorTime returns the user and system time of the process.
+func processorTime() time.Duration {
 	var u syscall.Rusage
-	if err := syscall.Getrusage(who, &u); err != nil {
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
 		return 0
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// rusageThread selects the calling thread in getrusage of Linux.
-const rusageThread = 1
-
 // Ways on which a release item reaches a node.
 const (
 	viaStore  = "store"
@@ -138,21 +135,12 @@
 
 // stages are the moments of bringing a release in force.
 type stages struct {
-	arrival                              arrival
-	began, decoded, built, applied       usage
-	ownDecode, ownBuild, ownApply, ownAt time.Duration
-}
-
-// ownTime returns the processor time of the thread since the last call.
-func (s *stages) ownTime() time.Duration {
-	now := processorTime(rusageThread)
-	spent := now - s.ownAt
-	s.ownAt = now
-	return spent
+	arrival                        arrival
+	began, decoded, built, applied usage
 }
 
 // reportInForce counts and logs when and how a release came in force. The fields named cpu hold
-// the processor time of the whole process, those named own that of the work itself.
+// the processor time of the whole process.
 func (f *Follower) reportInForce(sequence uint64, s *stages) {
 	counters.releases.Add(1)
 	counters.decodeMicros.Add((s.decoded.at - s.began.at).Microseconds())
@@ -166,9 +154,9 @@
 		Dur("lock_ms", a.locked.at-a.received.at).
 		Dur("merge_ms", a.merged.at-a.locked.at).Dur("merge_cpu_ms", a.merged.cpu-a.locked.cpu).
 		Dur("wait_ms", s.began.at-a.merged.at).Dur("wait_cpu_ms", s.began.cpu-a.merged.cpu).
-		Dur("decode_ms", s.decoded.at-s.began.at).Dur("decode_cpu_ms", s.decoded.cpu-s.began.cpu).Dur("decode_own_ms", s.ownDecode).
-		Dur("build_ms", s.built.at-s.decoded.at).Dur("build_cpu_ms", s.built.cpu-s.decoded.cpu).Dur("build_own_ms", s.ownBuild).
-		Dur("apply_ms", s.applied.at-s.built.at).Dur("apply_cpu_ms", s.applied.cpu-s.built.cpu).Dur("apply_own_ms", s.ownApply).
+		Dur("decode_ms", s.decoded.at-s.began.at).Dur("decode_cpu_ms", s.decoded.cpu-s.began.cpu).
+		Dur("build_ms", s.built.at-s.decoded.at).Dur("build_cpu_ms", s.built.cpu-s.decoded.cpu).
+		Dur("apply_ms", s.applied.at-s.built.at).Dur("apply_cpu_ms", s.applied.cpu-s.built.cpu).
 		Uint64("gc_cycles", gc.cycles-a.gc.cycles).Dur("gc_cpu_ms", gc.cpu-a.gc.cpu).Uint64("allocated", gc.allocated-a.gc.allocated).
 		Stringer("whole_sent", &counters.wholeSent).Stringer("whole_sent_bytes", &counters.wholeSentBytes).
 		Stringer("changes_sent", &counters.changesSent).Stringer("changes_sent_bytes", &counters.changesSentBytes).
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"auburnladder.example/core/source"
@@ -225,7 +224,7 @@
 func (f *Follower) mergeCopy(c *peerpb.SourceCopy, came arrival) (changed bool, err error) {
 	if came.bytes > 0 {
 		counters.countTaken(c)
-		came.received.cpu, came.gc = processorTime(syscall.RUSAGE_SELF), readGC()
+		came.received.cpu, came.gc = processorTime(), readGC()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
