--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -13,6 +13,7 @@
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -135,17 +136,21 @@
 	}
 }
 
-// askRound requests a copy from PeersPerRound random peers, one after the other.
+// askRound requests a copy from PeersPerRound random peers at the same time.
 func (f *Follower) askRound(ctx context.Context) {
 	counters.askRounds.Add(1)
 	candidates := f.peers.Candidates()
 	rand.Shuffle(len(candidates), func(i, j int) {
 		candidates[i], candidates[j] = candidates[j], candidates[i]
 	})
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
 	for _, addr := range candidates[:min(f.cfg.PeersPerRound, len(candidates))] {
-		if err := f.askPeer(ctx, addr); err != nil {
-			f.log.Debug().Err(err).Str("event", "peer-copy-failed").Stringer("peer", addr).Msg("copy of the store could not be fetched from peer")
-		}
+		tasks.Go(func() {
+			if err := f.askPeer(ctx, addr); err != nil {
+				f.log.Debug().Err(err).Str("event", "peer-copy-failed").Stringer("peer", addr).Msg("copy of the store could not be fetched from peer")
+			}
+		})
 	}
 }
 
