Cut the backoff of a node that must read the store itself

If it lost its parent meanwhile, it waited that out before it read the store, longer than a change may take (CONFIG, DRAIN). The backoff now ends with that of the new decision.

--- a/node/follow/series_test.go
+++ b/node/follow/series_test.go
@@ -1,10 +1,15 @@
 package follow
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"auburnladder.example/core/vmlist"
+	"auburnladder.example/node/command"
+	"auburnladder.example/node/state"
+	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -55,3 +60,27 @@
 		})
 	})
 }
+
+// Guards against a node that waits out the backoff of an old decision after it became the one that
+// must read the store.
+func TestBackOffEndsWhenTheNodeMustRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The backoff of a node with a parent is cut to that of one without", t, func() {
+			f := New(DefaultConfig(), newFakeStore(), plainDecoder{}, noPeers{}, &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}, bootClock(), zerolog.Nop())
+			f.decision.Parent = &vmlist.VM{ID: "10.0.0.2"}
+			began, done := time.Now(), make(chan struct{})
+			go func() {
+				f.backOff(context.Background(), f.retryMax())
+				close(done)
+			}()
+			time.Sleep(time.Millisecond)
+			f.mu.Lock()
+			f.decision.Parent = nil
+			close(f.decided)
+			f.decided = make(chan struct{})
+			f.mu.Unlock()
+			<-done
+			So(time.Since(began), ShouldEqual, f.cfg.RetryMax)
+		})
+	})
+}
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -25,7 +25,7 @@
 		}
 		if err != nil {
 			f.recordFailure(err)
-			sleep(ctx, jitter(backoff))
+			f.backOff(ctx, jitter(backoff))
 			backoff = min(2*backoff, f.retryMax())
 			continue
 		}
@@ -57,6 +57,25 @@
 	return f.cfg.RetryMax
 }
 
+// backOff waits for a time, but no longer than retryMax is meanwhile.
+func (f *Follower) backOff(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for began := time.Now(); ; {
+		f.mu.Lock()
+		decided := f.decided
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-decided:
+			timer.Reset(min(d, f.retryMax()) - time.Since(began))
+		}
+	}
+}
+
 // retryFactor is how much longer the backoff of a node that has a parent may be.
 const retryFactor = 3
 
