--- a/core/mesh/source.go
+++ b/core/mesh/source.go
@@ -199,8 +199,8 @@
 }
 
 // maxUnused is the number of routes that are kept beyond those of the last release, relative to
-// these.
-const maxUnused = 0.5
+// these. A decoder may alternate between two sets of routes with the same content.
+const maxUnused = 1.5
 
 // dropUnused drops the routes that the last release does not have, once there are many of them.
 func (b *Builder) dropUnused() {
