Entries that name no server are neither kept nor passed on

What was seen: of an entry that could not be decoded, up to the store's 1 MiB, each node kept all bytes, sent them to the nodes that follow it, and logged an error that quotes it (4,194,350 bytes of error for an entry of 1 MiB) at each write. Two such entries that don't compress are above the 2 MiB of a message between nodes, so no copy could be sent. Keys that are not of the project were kept and sent in full, too.

Cause: the replica kept what it read, not what it uses. Class: cost and limits that another writer's bytes decide. A write that names no server before and after it makes no new list.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -58,6 +58,8 @@
 	// listChanges is the number of changes of the VM list.
 	listChanges  uint64
 	decodeErrors []error
+	// unreadable holds the keys of the entries that cannot be decoded and were reported.
+	unreadable map[string]bool
 	// removals are the latest removals of keys in the present era, in order of revision. Those
 	// at or before removalsFrom are not known.
 	removals     []removal
@@ -67,12 +69,13 @@
 // NewReplica returns an empty replica.
 func NewReplica(cfg Config, d Decoder) *Replica {
 	return &Replica{
-		cfg:      cfg,
-		decoder:  d,
-		items:    make(map[string]Item),
-		servers:  make(map[string]ServerEntry),
-		retained: make(map[string]retainedEntry),
-		restored: newRestoredEntries(),
+		cfg:        cfg,
+		decoder:    d,
+		items:      make(map[string]Item),
+		servers:    make(map[string]ServerEntry),
+		retained:   make(map[string]retainedEntry),
+		unreadable: make(map[string]bool),
+		restored:   newRestoredEntries(),
 	}
 }
 
@@ -169,41 +172,59 @@
 // put stores an item unless the replica has the same or a newer one.
 func (r *Replica) put(item Item) {
 	old, found := r.items[item.Key]
+	kind := r.decoder.Kind(item.Key)
 	if found && !r.supersedes(item, old) {
 		return
 	}
+	if kind == Other {
+		item.Value = nil
+	}
 	r.items[item.Key] = item
-	kind := r.decoder.Kind(item.Key)
-	if kind == Release && (item.Key == r.release.Key || item.Position().Compare(r.release.Position()) >= 0) {
+	switch {
+	case kind == Server:
+		r.putServer(item, old, found)
+	case kind == Release && (item.Key == r.release.Key || item.Position().Compare(r.release.Position()) >= 0):
 		r.release = item
 	}
-	if kind != Server {
-		return
-	}
-	r.listChanges++
+}
+
+// putServer lists the server of an item that replaced old, if that was found.
+func (r *Replica) putServer(item, old Item, found bool) {
+	_, listed := r.servers[item.Key]
+	_, retained := r.retained[item.Key]
 	delete(r.retained, item.Key)
 	withheld := r.restored.release(item.Key)
-	if found && !withheld && bytes.Equal(old.Value, item.Value) {
-		return
+	if !found || withheld || !bytes.Equal(old.Value, item.Value) {
+		r.decodeServer(item)
+	}
+	if _, names := r.servers[item.Key]; names || listed || retained {
+		r.listChanges++
 	}
-	r.decodeServer(item)
 }
 
-// decodeServer decodes the entry of a server and lists it, unless it cannot be decoded.
+// decodeServer decodes the entry of a server and lists it. Of an entry that cannot be decoded the
+// replica keeps no bytes: there may be many, and other nodes get what it keeps.
 func (r *Replica) decodeServer(item Item) {
 	entry, err := r.decoder.Server(item.Key, item.Value)
-	if err != nil {
-		r.decodeErrors = append(r.decodeErrors, fmt.Errorf("%s: %w", item.Key, err))
-		delete(r.servers, item.Key)
+	if err == nil {
+		r.servers[item.Key] = entry
+		delete(r.unreadable, item.Key)
 		return
 	}
-	r.servers[item.Key] = entry
+	delete(r.servers, item.Key)
+	item.Value = nil
+	r.items[item.Key] = item
+	if !r.unreadable[item.Key] {
+		r.unreadable[item.Key] = true
+		r.decodeErrors = append(r.decodeErrors, fmt.Errorf("%s: %w", item.Key, err))
+	}
 }
 
 // remove removes an item. During the grace period after an outage it retains the server
 // entry. left is set if the store removed it, and unset if an older copy of the store lacks it.
 func (r *Replica) remove(now time.Time, key string, left bool) {
 	delete(r.items, key)
+	delete(r.unreadable, key)
 	if key == r.release.Key {
 		r.findRelease()
 	}
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -248,3 +248,32 @@
 		}
 	})
 }
+
+// Guards against entries that cannot be read but are kept, sent to other nodes and reported again
+// with each write.
+func TestUnreadableEntryIsNotKept(t *testing.T) {
+	Convey("Of an entry that cannot be decoded only the key is kept, and it is reported once", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		r.Replace(start, []Item{
+			{Key: "s1", Value: []byte("{ odd"), Revision: 2}, {Key: "s2", Value: encode("b", 1, false), Revision: 3}, {Key: "x", Value: []byte("other"), Revision: 3},
+		}, Position{Revision: 3})
+		changes := r.ListChanges()
+		r.Apply(start, Changes{Changes: []Change{{Item: Item{Key: "s1", Value: []byte("[ odd"), Revision: 4}}}, Revision: 4})
+		for _, item := range r.Items() {
+			if item.Key != "s2" {
+				So(item.Value, ShouldBeEmpty)
+			}
+		}
+		So(r.DecodeErrors(), ShouldHaveLength, 1)
+		So(r.ListChanges(), ShouldEqual, changes)
+		Convey("Another node that gets the copy lists the same servers", func() {
+			other := NewReplica(DefaultConfig(), textDecoder{})
+			other.Replace(start, r.Items(), r.Position())
+			So(other.VMs(), ShouldResemble, r.VMs())
+		})
+		Convey("A server that writes the entry again is listed", func() {
+			r.Apply(start, Changes{Changes: []Change{{Item: Item{Key: "s1", Value: encode("a", 1, false), Revision: 5}}}, Revision: 5})
+			So(ids(r.VMs()), ShouldResemble, []string{"a", "b"})
+		})
+	})
+}
