An entry of a service that isn't named takes no real server's place

Callers saw (trial with the nodes of e2e, one odd entry): an entry with the address of a real server, a later start and a service that the configuration does not name took that server's place in the list of VMs; one of two servers of a service got no more requests, and the node beside it took the other entry for its own server.

Cause: of several entries for one VM the one that started last was used, whatever service it names. Class: an entry of another writer that decides about another key. Now the entry of a service that the configuration names comes first; if entries of different services name one VM, a new configuration makes a new list. The names are read from the configuration only in that case. An entry that is valid in all fields, with a named service, can't be told from a restart of the server and still wins by its start.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -60,6 +60,11 @@
 	decodeErrors []error
 	// unreadable holds the keys of the entries that cannot be decoded and were reported.
 	unreadable map[string]bool
+	// named are the services that the release at namedAt names.
+	named   map[string]bool
+	namedAt Position
+	// contested is set if entries of different services named one VM in the last list.
+	contested bool
 	// removals are the latest removals of keys in the present era, in order of revision. Those
 	// at or before removalsFrom are not known.
 	removals     []removal
@@ -106,6 +111,26 @@
 			r.release = item
 		}
 	}
+	r.releaseChanged()
+}
+
+// releaseChanged makes a change of the list if it depends on the services that the release names.
+func (r *Replica) releaseChanged() {
+	if r.contested {
+		r.listChanges++
+	}
+}
+
+// namedServices returns the services that the release names. If it cannot be read, they are those
+// of the one before.
+func (r *Replica) namedServices() map[string]bool {
+	if at := r.release.Position(); r.release.Key != "" && at != r.namedAt {
+		r.namedAt = at
+		if named, err := r.decoder.ServiceNames(r.release.Value); err == nil {
+			r.named = named
+		}
+	}
+	return r.named
 }
 
 // DecodeErrors returns the decode errors since the last call.
@@ -185,6 +210,7 @@
 		r.putServer(item, old, found)
 	case kind == Release && (item.Key == r.release.Key || item.Position().Compare(r.release.Position()) >= 0):
 		r.release = item
+		r.releaseChanged()
 	}
 }
 
@@ -244,14 +270,16 @@
 }
 
 // VMs returns the VMs of all servers, ordered by ID. If a VM has several entries, the one
-// of the server started last is used.
+// of the server started last is used; an entry of a service that the release does not name gives
+// way to one of a service that it names.
 func (r *Replica) VMs() []vmlist.VM {
 	byVM := make(map[string]ServerEntry, len(r.servers)+len(r.retained))
+	r.contested = false
 	for _, k := range r.retained {
-		putNewer(byVM, k.entry)
+		r.putPreferred(byVM, k.entry)
 	}
 	for _, e := range r.servers {
-		putNewer(byVM, e)
+		r.putPreferred(byVM, e)
 	}
 	list := make([]vmlist.VM, 0, len(byVM))
 	for _, e := range byVM {
@@ -261,14 +289,26 @@
 	return list
 }
 
-// putNewer adds an entry to byVM unless the entry present is that of a later server run.
-func putNewer(byVM map[string]ServerEntry, e ServerEntry) {
+// putPreferred adds an entry to byVM unless the entry present takes precedence.
+func (r *Replica) putPreferred(byVM map[string]ServerEntry, e ServerEntry) {
 	old, found := byVM[e.VM.ID]
-	if !found || e.startedAfter(old) {
+	if !found || r.precedes(e, old) {
 		byVM[e.VM.ID] = e
 	}
 }
 
+// precedes reports whether e takes precedence over old, which names the same VM.
+func (r *Replica) precedes(e, old ServerEntry) bool {
+	if e.VM.Service != old.VM.Service {
+		r.contested = true
+		named := r.namedServices()
+		if named[e.VM.Service] != named[old.VM.Service] {
+			return named[e.VM.Service]
+		}
+	}
+	return e.startedAfter(old)
+}
+
 // startedAfter reports whether e describes a later run of a server than old. If the start
 // times are equal or missing, a server that is not leaving takes precedence over one that
 // is.
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -33,6 +33,11 @@
 	return strconv.ParseUint(string(value), 10, 64)
 }
 
+// ServiceNames takes the release for the name of its only service.
+func (textDecoder) ServiceNames(value []byte) (map[string]bool, error) {
+	return map[string]bool{string(value): true}, nil
+}
+
 func (textDecoder) Server(_ string, value []byte) (ServerEntry, error) {
 	var e ServerEntry
 	err := json.Unmarshal(value, &e)
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -105,8 +105,8 @@
 	Sequence uint64
 }
 
-// Decoder interprets items. Release is called by one goroutine at a time, and so are Kind and
-// Server.
+// Decoder interprets items. Release is called by one goroutine at a time, and so are the other
+// methods.
 type Decoder interface {
 	// Kind returns the type of the item with the given key.
 	Kind(key string) Kind
@@ -114,6 +114,8 @@
 	Release(value []byte) (*mesh.Published, error)
 	// ReleaseSequence returns the sequence number of a configuration without decoding the rest.
 	ReleaseSequence(value []byte) (uint64, error)
-	// Server decodes the entry of a backend server.
+	// ServiceNames returns the names of the services of a configuration without decoding the rest.
+	ServiceNames(value []byte) (map[string]bool, error)
+	// Server decodes the entry of a backend server. An error says that it names no server.
 	Server(key string, value []byte) (ServerEntry, error)
 }
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -141,6 +141,10 @@
 	return uint64(value[0]), nil
 }
 
+func (plainDecoder) ServiceNames([]byte) (map[string]bool, error) {
+	return map[string]bool{"s": true}, nil
+}
+
 func (plainDecoder) Server(key string, _ []byte) (source.ServerEntry, error) {
 	return source.ServerEntry{VM: vmlist.VM{ID: key, Service: "s", Peer: netip.MustParseAddrPort(key + ":1")}}, nil
 }
