One unreadable item no longer makes a response of the store unusable

The node asked for the same again and again and followed no more; one that starts served nothing.

Cause: a response was decoded as a whole. Class: one bad part spoils all parts. Now each item is decoded for itself. One without a readable key or rev is left out, one without a readable value has none: such an entry names no server, such a configuration leaves the one before in place. The log line item-unreadable names the first and the number.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -194,11 +194,12 @@
 	return true
 }
 
-// put stores an item unless the replica has the same or a newer one.
+// put stores an item unless the replica has the same or a newer one. A release without a value
+// could not be read; the one before stays.
 func (r *Replica) put(item Item) {
 	old, found := r.items[item.Key]
 	kind := r.decoder.Kind(item.Key)
-	if found && !r.supersedes(item, old) {
+	if found && !r.supersedes(item, old) || kind == Release && len(item.Value) == 0 {
 		return
 	}
 	if kind == Other {
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -281,4 +281,11 @@
 			So(ids(r.VMs()), ShouldResemble, []string{"a", "b"})
 		})
 	})
+	Convey("A configuration without a value does not replace the one before", t, func() {
+		r := NewReplica(DefaultConfig(), textDecoder{})
+		r.Replace(start, []Item{{Key: "config", Value: []byte("7"), Revision: 2}}, Position{Revision: 3})
+		r.Apply(start, Changes{Changes: []Change{{Item: Item{Key: "config", Revision: 4}}}, Revision: 4})
+		item, _ := r.Release()
+		So(string(item.Value), ShouldEqual, "7")
+	})
 }
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -72,6 +72,8 @@
 	Revision uint64
 	// Era is the era of Revision.
 	Era uint64
+	// Unreadable holds an error for each item that could not be read completely.
+	Unreadable []error
 }
 
 // Position returns the point in the store's history at which the page was read.
@@ -84,6 +86,8 @@
 	Revision uint64
 	// Era is the era of Revision and of all changes.
 	Era uint64
+	// Unreadable holds an error for each change that could not be read completely.
+	Unreadable []error
 }
 
 // Kind is the type of an item.
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -106,6 +106,7 @@
 		if page.Era != at.Era {
 			return nil, at, errEraChanged
 		}
+		f.logUnreadable(page.Unreadable)
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			return items, at, nil
@@ -114,6 +115,13 @@
 	}
 }
 
+// logUnreadable logs that items of a response could not be read completely.
+func (f *Follower) logUnreadable(errs []error) {
+	if len(errs) > 0 {
+		f.log.Warn().Err(errs[0]).Str("event", "item-unreadable").Int("items", len(errs)).Msg("items of the store could not be read completely; the others are used")
+	}
+}
+
 // replaceLocked replaces the items by those that the store had at a position, and reports if it
 // came back from an older copy. The caller holds mu.
 func (f *Follower) replaceLocked(now time.Time, items []source.Item, at source.Position) {
@@ -138,6 +146,7 @@
 		return source.ErrHistoryLost
 	}
 	f.recordSuccess()
+	f.logUnreadable(changes.Unreadable)
 	f.mu.Lock()
 	applied := f.replica.Apply(time.Now(), changes)
 	asOf := began
