Pages of the store that do not advance are an error

Cause: the end of a page was not compared with its beginning. Class: a loop whose end another writer decides. Now reading fails and is tried again, and the node keeps what it holds.

TestPagesThatDoNotAdvance failed without this and passes now.

--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -441,3 +441,28 @@
 		tasks.Wait()
 	})
 }
+
+// pagedStore returns the same page for each of the first calls of List, then fails.
+type pagedStore struct {
+	*fakeStore
+	page source.Page
+}
+
+func (s *pagedStore) List(string) (source.Page, error) {
+	if s.lists.Add(1) > 10 {
+		return source.Page{}, errDown
+	}
+	return s.page, nil
+}
+
+// Guards against a node that reads pages without end, or takes a part of the items for all of them.
+func TestPagesThatDoNotAdvance(t *testing.T) {
+	Convey("Reading fails if a page does not continue after the last key, or is empty although more follow", t, func() {
+		for _, items := range [][]source.Item{{{Key: "a", Revision: 1}}, nil} {
+			store := &pagedStore{fakeStore: newFakeStore(), page: source.Page{Items: items, More: true, Revision: 1}}
+			f := New(DefaultConfig(), store, plainDecoder{}, noPeers{}, &command.Commander{State: state.New(state.Identity{})}, bootClock(), zerolog.Nop())
+			_, _, err := f.readPages()
+			So(errors.Is(err, errPageOrder), ShouldBeTrue)
+		}
+	})
+}
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -67,6 +67,9 @@
 // that a response is from before then.
 var errEraChanged = errors.New("the response of the store is of another era")
 
+// errPageOrder reports a page that ends before the one before it although more follow.
+var errPageOrder = errors.New("page of the store does not continue after the key that was asked for")
+
 // readAll reads all pages. The next watch starts at the revision of the first page, so that
 // changes made while the pages were read are not missed; some are received twice.
 func (f *Follower) readAll() error {
@@ -108,9 +111,12 @@
 		}
 		f.logUnreadable(page.Unreadable)
 		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
+		if !page.More {
 			return items, at, nil
 		}
+		if len(page.Items) == 0 || page.Items[len(page.Items)-1].Key <= after {
+			return nil, at, errPageOrder
+		}
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
