Routing: slots above 32 bits are not cut

Class: a conversion that cuts a number from outside. The decoder refuses more than 65536 slots of an entry; the table no longer relies on that. The limiter beside the server bounds its slots already (ConfigFor).

TestSlotsBeyond32Bits failed before (load +Inf) and passes now.

--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -317,3 +318,15 @@
 		So(slowRequestShare(t, roundrobin.Picker{}), ShouldBeGreaterThan, 0.1)
 	})
 }
+
+// Guards against a number of slots that is cut to 32 bits and makes a server look full or idle.
+func TestSlotsBeyond32Bits(t *testing.T) {
+	Convey("A server with more slots than fit into 32 bits has a load above 0 and below 1", t, func() {
+		for _, slots := range []int{1 << 32, 1<<32 + 1, math.MaxInt} {
+			list := servers(1)
+			list[0].Slots = slots
+			_, table := newDirectory(t, list)
+			So(table.Endpoints[0].Load(start), ShouldBeBetween, 0, 1e-9)
+		}
+	})
+}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -226,7 +227,7 @@
 		e.warmUpStart.Store(steady.Nanos(now))
 	}
 	e.leaving.Store(leaving)
-	e.slots.Store(uint32(max(1, cmp.Or(s.Slots, svc.Server.Slots))))
+	e.slots.Store(uint32(min(max(1, cmp.Or(s.Slots, svc.Server.Slots)), math.MaxUint32)))
 	return e
 }
 
