Configuration: weights whose sum is infinite are refused

Each weight is checked, their sum was not: with 1e308 twice all requests went to the first service. The store accepts only valid configurations, so no caller saw this.

TestWeightsWithAnInfiniteSum failed before and passes now.

--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -126,6 +126,15 @@
 	})
 }
 
+// Guards against weights whose sum is infinite, with which all requests go to the first service.
+func TestWeightsWithAnInfiniteSum(t *testing.T) {
+	Convey("Validate refuses weights whose sum is infinite", t, func() {
+		s := testService("a", "a")
+		s.Routes[0].Split = []SplitPart{{Service: "a", Weight: 1e308}, {Service: "a", Weight: 1e308}}
+		So(s.Validate(), ShouldNotBeNil)
+	})
+}
+
 // FuzzParseService checks that ParseService accepts only services that are valid.
 func FuzzParseService(f *testing.F) {
 	data, err := testService("a", "a").Encode()
--- a/core/mesh/validate.go
+++ b/core/mesh/validate.go
@@ -138,8 +138,8 @@
 		}
 		sum += part.Weight
 	}
-	if sum <= 0 {
-		return s.fieldError(field+".split", "must have a weight above 0")
+	if sum <= 0 || math.IsInf(sum, 0) {
+		return s.fieldError(field+".split", "must have a sum of weights above 0 and not infinite")
 	}
 	return nil
 }
