Tests: a machine without a node at the root, and odd entries end to end

TestMachineWithoutANodeAtTheRoot shows that an entry that names no real machine and comes first in the tree makes no change late: 60 nodes, 120 changes, the machine refuses connections or does not answer, in a domain of the fleet or one of its own.

TestOddEntriesOfServers writes nested, too large, too long and misleading entries beside the servers of three nodes, restarts one of them and checks that all follow the store and keep all servers.

--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -152,3 +152,34 @@
 		}
 	})
 }
+
+// Guards against an entry that names a machine without a node and makes it the root or the head of
+// a domain, so that changes are late or all nodes read the store.
+func TestMachineWithoutANodeAtTheRoot(t *testing.T) {
+	Convey("Changes arrive in time at all other nodes, and few of them call the store", t, func() {
+		for name, end := range map[string]func(*simNode){
+			"refuses":         func(s *simNode) { s.kill(time.Hour) },
+			"does not answer": func(s *simNode) { s.freeze(time.Hour) },
+		} {
+			for _, domain := range []string{"d0", "nowhere"} {
+				n := newNetwork(60, 3, 7)
+				absent := n.root()
+				for i := range n.vms {
+					if n.vms[i].ID == absent.vm.ID {
+						n.vms[i].Domain = domain
+					}
+				}
+				end(absent)
+				n.run(4 * time.Second)
+				before := n.calls
+				for range 120 {
+					n.change()
+					n.run(time.Second)
+				}
+				SoMsg(name+" "+domain, n.late, ShouldEqual, "")
+				SoMsg(name+" "+domain, n.freshNodes(), ShouldEqual, 59)
+				SoMsg(name+" "+domain, n.calls-before, ShouldBeLessThan, 120*5)
+			}
+		}
+	})
+}
--- a/e2e/store_test.go
+++ b/e2e/store_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net/http"
@@ -175,3 +176,48 @@
 		}
 	})
 }
+
+// Guards against nodes that end, stop following the store or lose a server because another writer
+// left odd entries among those of the servers.
+func TestOddEntriesOfServers(t *testing.T) {
+	Convey("With odd entries in the store, nodes follow it, keep all servers and start again", t, func() {
+		c := startStore(t)
+		later := c.VMs[0].Server.Born + 1000
+		at := func(address, service string) string {
+			return fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"nowhere","slots":9},"status":{"state":"ready","sequence":1,"coldLeft":"0ms"}}`, address, later, service)
+		}
+		values := []string{
+			"", "null", "\xff", strings.Repeat("[", 1<<20), `{"info":` + strings.Repeat(`{"a":`, 1<<17),
+			strings.Replace(at(c.VMs[0].IP+":1", "a"), `"slots":9`, `"slots":4294967296`, 1),
+			strings.Replace(at(c.VMs[0].IP+":1", "a"), `"slots":9`, `"slots":1e400`, 1),
+			at(c.VMs[0].IP+":0", "a"), at(c.VMs[0].IP+":99999", "a"), at(c.VMs[0].IP+":1", "nowhere"), at("240.0.0.1:1", "nowhere"),
+		}
+		for range 12 {
+			random := make([]byte, 1<<20)
+			_, _ = rand.Read(random)
+			values = append(values, string(random))
+		}
+		for i, value := range values {
+			c.Store.Put(fmt.Sprintf("servers/odd-%d", i), []byte(value))
+		}
+		c.Store.Publish(9, "/y/", "a", "b")
+		So(c.VMs[1].Node.Kill(), ShouldBeNil)
+		So(c.StartNode(c.VMs[1]), ShouldBeNil)
+		So(c.AwaitReady(c.VMs[1]), ShouldBeNil)
+		for _, vm := range c.VMs {
+			awaitStatus(c, vm, http.MethodGet, standin.ReadHost, "/y/1", http.StatusOK)
+			awaitStatus(c, vm, http.MethodPost, standin.BookHost, "/1", http.StatusOK)
+			So(c.AwaitReady(vm), ShouldBeNil)
+		}
+		runs := [2]int64{c.VMs[0].Server.Runs.Load(), c.VMs[1].Server.Runs.Load()}
+		So(harness.Eventually("both servers of a service get requests", func() error {
+			if _, err := c.Send(c.VMs[2], http.MethodGet, standin.ReadHost, "/y/1", "r1"); err != nil {
+				return err
+			}
+			if c.VMs[0].Server.Runs.Load() == runs[0] || c.VMs[1].Server.Runs.Load() == runs[1] {
+				return errors.New("a server got no requests")
+			}
+			return nil
+		}), ShouldBeNil)
+	})
+}
