--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -58,6 +58,13 @@
 	// listChanges is the number of changes of the VM list.
 	listChanges  uint64
 	decodeErrors []error
+	// unreadable holds the keys of the entries that cannot be decoded and were reported.
+	unreadable map[string]bool
+	// named are the services that the release at namedAt names.
+	named   map[string]bool
+	namedAt Position
+	// contested is set if entries of different services named one VM in the last list.
+	contested bool
 	// removals are the latest removals of keys in the present era, in order of revision. Those
 	// at or before removalsFrom are not known.
 	removals     []removal
@@ -69,12 +76,13 @@
 // NewReplica returns an empty replica.
 func NewReplica(cfg Config, d Decoder) *Replica {
 	return &Replica{
-		cfg:      cfg,
-		decoder:  d,
-		items:    make(map[string]Item),
-		servers:  make(map[string]ServerEntry),
-		retained: make(map[string]retainedEntry),
-		restored: newRestoredEntries(),
+		cfg:        cfg,
+		decoder:    d,
+		items:      make(map[string]Item),
+		servers:    make(map[string]ServerEntry),
+		retained:   make(map[string]retainedEntry),
+		unreadable: make(map[string]bool),
+		restored:   newRestoredEntries(),
 	}
 }
 
@@ -105,6 +113,26 @@
 			r.release = item
 		}
 	}
+	r.releaseChanged()
+}
+
+// releaseChanged makes a change of the list if it depends on the services that the release names.
+func (r *Replica) releaseChanged() {
+	if r.contested {
+		r.listChanges++
+	}
+}
+
+// namedServices returns the services that the release names. If it cannot be read, they are those
+// of the one before.
+func (r *Replica) namedServices() map[string]bool {
+	if at := r.release.Position(); r.release.Key != "" && at != r.namedAt {
+		r.namedAt = at
+		if named, err := r.decoder.ServiceNames(r.release.Value); err == nil {
+			r.named = named
+		}
+	}
+	return r.named
 }
 
 // DecodeErrors returns the decode errors since the last call.
@@ -168,44 +196,64 @@
 	return true
 }
 
-// put stores an item unless the replica has the same or a newer one.
+// put stores an item unless the replica has the same or a newer one. A release without a value
+// could not be read; the one before stays.
 func (r *Replica) put(item Item) {
 	old, found := r.items[item.Key]
-	if found && !r.supersedes(item, old) {
+	kind := r.decoder.Kind(item.Key)
+	if found && !r.supersedes(item, old) || kind == Release && len(item.Value) == 0 {
 		return
 	}
+	if kind == Other {
+		item.Value = nil
+	}
 	r.items[item.Key] = item
-	kind := r.decoder.Kind(item.Key)
-	if kind == Release && (item.Key == r.release.Key || item.Position().Compare(r.release.Position()) >= 0) {
+	switch {
+	case kind == Server:
+		r.putServer(item, old, found)
+	case kind == Release && (item.Key == r.release.Key || item.Position().Compare(r.release.Position()) >= 0):
 		r.release = item
+		r.releaseChanged()
 	}
-	if kind != Server {
-		return
-	}
-	r.listChanges++
+}
+
+// putServer lists the server of an item that replaced old, if that was found.
+func (r *Replica) putServer(item, old Item, found bool) {
+	_, listed := r.servers[item.Key]
+	_, retained := r.retained[item.Key]
 	delete(r.retained, item.Key)
 	withheld := r.restored.release(item.Key)
-	if found && !withheld && bytes.Equal(old.Value, item.Value) {
-		return
+	if !found || withheld || !bytes.Equal(old.Value, item.Value) {
+		r.decodeServer(item)
+	}
+	if _, names := r.servers[item.Key]; names || listed || retained {
+		r.listChanges++
 	}
-	r.decodeServer(item)
 }
 
-// decodeServer decodes the entry of a server and lists it, unless it cannot be decoded.
+// decodeServer decodes the entry of a server and lists it. Of an entry that cannot be decoded the
+// replica keeps no bytes: there may be many, and other nodes get what it keeps.
 func (r *Replica) decodeServer(item Item) {
 	entry, err := r.decoder.Server(item.Key, item.Value)
-	if err != nil {
-		r.decodeErrors = append(r.decodeErrors, fmt.Errorf("%s: %w", item.Key, err))
-		delete(r.servers, item.Key)
+	if err == nil {
+		r.servers[item.Key] = entry
+		delete(r.unreadable, item.Key)
 		return
 	}
-	r.servers[item.Key] = entry
+	delete(r.servers, item.Key)
+	item.Value = nil
+	r.items[item.Key] = item
+	if !r.unreadable[item.Key] {
+		r.unreadable[item.Key] = true
+		r.decodeErrors = append(r.decodeErrors, fmt.Errorf("%s: %w", item.Key, err))
+	}
 }
 
 // remove removes an item. During the grace period after an outage it retains the server
 // entry. left is set if the store removed it, and unset if an older copy of the store lacks it.
 func (r *Replica) remove(now time.Time, key string, left bool) {
 	delete(r.items, key)
+	delete(r.unreadable, key)
 	if key == r.release.Key {
 		r.findRelease()
 	}
@@ -225,14 +273,16 @@
 }
 
 // VMs returns the VMs of all servers, ordered by ID. If a VM has several entries, the one
-// of the server started last is used.
+// of the server started last is used; an entry of a service that the release does not name gives
+// way to one of a service that it names.
 func (r *Replica) VMs() []vmlist.VM {
 	byVM := make(map[string]ServerEntry, len(r.servers)+len(r.retained))
+	r.contested = false
 	for _, k := range r.retained {
-		putNewer(byVM, k.entry)
+		r.putPreferred(byVM, k.entry)
 	}
 	for _, e := range r.servers {
-		putNewer(byVM, e)
+		r.putPreferred(byVM, e)
 	}
 	list := make([]vmlist.VM, 0, len(byVM))
 	for _, e := range byVM {
@@ -242,14 +292,26 @@
 	return list
 }
 
-// putNewer adds an entry to byVM unless the entry present is that of a later server run.
-func putNewer(byVM map[string]ServerEntry, e ServerEntry) {
+// putPreferred adds an entry to byVM unless the entry present takes precedence.
+func (r *Replica) putPreferred(byVM map[string]ServerEntry, e ServerEntry) {
 	old, found := byVM[e.VM.ID]
-	if !found || e.startedAfter(old) {
+	if !found || r.precedes(e, old) {
 		byVM[e.VM.ID] = e
 	}
 }
 
+// precedes reports whether e takes precedence over old, which names the same VM.
+func (r *Replica) precedes(e, old ServerEntry) bool {
+	if e.VM.Service != old.VM.Service {
+		r.contested = true
+		named := r.namedServices()
+		if named[e.VM.Service] != named[old.VM.Service] {
+			return named[e.VM.Service]
+		}
+	}
+	return e.startedAfter(old)
+}
+
 // startedAfter reports whether e describes a later run of a server than old. If the start
 // times are equal or missing, a server that is not leaving takes precedence over one that
 // is.
--- a/node/pending_test.go
+++ b/node/pending_test.go
@@ -72,6 +72,8 @@
 
 func (pendingDecoder) ReleaseSequence(value []byte) (uint64, error) { return uint64(value[0]), nil }
 
+func (pendingDecoder) ServiceNames([]byte) (map[string]bool, error) { return nil, nil }
+
 func (pendingDecoder) Server(string, []byte) (source.ServerEntry, error) {
 	return source.ServerEntry{}, errors.New("no servers")
 }
