Refuse requests whose host or target has two readings

Cause: fasthttp takes what it can use from any target and Host header. It cut off '#b?c', read 'u@host' as host, preferred the host of a URI to a different Host header, took any scheme, and gave CONNECT a path. What callers saw: such a request was routed by one reading, and the server got another. Now callerhttp reads the target by core/target and answers 400, with the reason, and closes the connection. Only what RFC 9112 (3.2) calls invalid is refused.

--- a/node/callerhttp/conn.go
+++ b/node/callerhttp/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"auburnladder.example/core/steady"
+	"auburnladder.example/core/target"
 	"github.com/sourcegraph/conc"
 )
 
@@ -217,7 +218,8 @@
 	if err := req.Header.Read(c.br); err != nil {
 		return x, err
 	}
-	if err := checkTarget(req.RequestURI()); err != nil {
+	var err error
+	if x.Target, err = target.Parse(string(req.Header.Method()), string(req.Header.RequestURI()), string(req.Header.Host())); err != nil {
 		return x, err
 	}
 	x.closes = req.Header.ConnectionClose()
--- a/node/callerhttp/exchange.go
+++ b/node/callerhttp/exchange.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"auburnladder.example/core/target"
 	"github.com/valyala/fasthttp"
 )
 
@@ -14,6 +15,9 @@
 type Exchange struct {
 	Request  fasthttp.Request
 	Response fasthttp.Response
+	// Target is what the request asks for. Request.URI must not be used: it decodes and cleans
+	// the path, and changes Request.
+	Target target.Target
 
 	ctx     context.Context
 	nc      net.Conn
@@ -56,6 +60,7 @@
 	x.Response.Reset()
 	x.ctx, x.nc, x.task, x.arrived = nil, nil, nil, time.Time{}
 	x.size, x.closes = 0, false
+	x.Target = target.Target{}
 	x.position = position{}
 	exchangePool.Put(x)
 }
--- a/node/callerhttp/http.go
+++ b/node/callerhttp/http.go
@@ -1,7 +1,6 @@
 package callerhttp
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -11,18 +10,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// errBadTarget reports a request target with a control character.
-var errBadTarget = errors.New("request target has a control character")
-
-// checkTarget rejects a request target that could be read differently by a server.
-func checkTarget(target []byte) error {
-	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
-	if bytes.ContainsFunc(target, isControl) {
-		return errBadTarget
-	}
-	return nil
-}
-
 // setFraming sets the headers of a response that depend on the connection and on the protocol
 // version of the request. final says that the connection closes after the response.
 func setFraming(x *Exchange, final bool) {
--- a/node/callerhttp/rig_test.go
+++ b/node/callerhttp/rig_test.go
@@ -92,7 +92,7 @@
 }
 
 func (r *rig) Accept(x *Exchange) Task {
-	path := string(x.Request.URI().Path())
+	path := x.Target.Path
 	r.mu.Lock()
 	r.arrived[path] = x.Arrived()
 	r.mu.Unlock()
--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -256,6 +256,25 @@
 	return b.conn.Close()
 }
 
+// rawStatus sends bytes on a new connection and returns the status of the response, and
+// whether the connection closes after it.
+func (f *fleet) rawStatus(text string) (status int, closes bool) {
+	conn, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	if _, err := io.WriteString(conn, text); err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Close
+}
+
 // status sends one request and returns the status and the verdict header.
 func (f *fleet) status(method, path, body string, headers ...string) (int, string) {
 	resp, err := f.send(method, path, body, headers...)
@@ -266,7 +285,9 @@
 	return resp.StatusCode, resp.Header.Get(verdict.Header)
 }
 
-func testSnapshot(t testing.TB) *mesh.Snapshot {
+// testSnapshot returns a release with the service programma and, besides its usual routes, the
+// given ones.
+func testSnapshot(t testing.TB, more ...mesh.Route) *mesh.Snapshot {
 	svc := mesh.Service{
 		Name:      "programma",
 		Hosts:     []string{"programma.example"},
@@ -289,6 +310,7 @@
 			},
 		},
 	}
+	svc.Routes = append(svc.Routes, more...)
 	data, err := svc.Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/node/proxy/ingress/server.go
+++ b/node/proxy/ingress/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 
+	"auburnladder.example/core/target"
 	"auburnladder.example/node/callerhttp"
 	"github.com/valyala/fasthttp"
 )
@@ -46,6 +47,8 @@
 		g.refuse(x, fasthttp.StatusRequestEntityTooLarge, "body is too large")
 	case errors.As(err, &netErr) && netErr.Timeout():
 		g.refuse(x, fasthttp.StatusRequestTimeout, "request came too slowly")
+	case errors.Is(err, target.ErrInvalid):
+		g.refuse(x, fasthttp.StatusBadRequest, err.Error())
 	default:
 		g.refuse(x, fasthttp.StatusBadRequest, "request is not valid HTTP")
 	}
