--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -286,7 +286,7 @@
 }
 
 // testSnapshot returns a release with the service programma and, besides its usual routes, the
-// given ones.
+// given ones. Its sequence grows with their number.
 func testSnapshot(t testing.TB, more ...mesh.Route) *mesh.Snapshot {
 	svc := mesh.Service{
 		Name:      "programma",
@@ -316,7 +316,7 @@
 		t.Fatal(err)
 	}
 	ref := release.ChunkRef{Name: svc.Name, Digest: release.DigestOf(data), Size: len(data)}
-	v := &release.Verified{Version: release.Version{Sequence: 1}, Manifest: &release.Manifest{Chunks: []release.ChunkRef{ref}}}
+	v := &release.Verified{Version: release.Version{Sequence: uint64(1 + len(more))}, Manifest: &release.Manifest{Chunks: []release.ChunkRef{ref}}}
 	s, err := mesh.Build(v, func(release.Digest) ([]byte, bool) { return data, true })
 	if err != nil {
 		t.Fatal(err)
--- a/node/proxy/ingress/target_test.go
+++ b/node/proxy/ingress/target_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"auburnladder.example/core/mesh"
 )
 
 // Guards against a request that is routed by one host or path and that a server may read as one for another.
@@ -30,3 +33,34 @@
 		So(f.totalCalls(), ShouldEqual, 0)
 	})
 }
+
+// readRoute may be repeated, unlike other requests with POST.
+var readRoute = mesh.Route{
+	Name: "look-up", Methods: []string{"POST"}, Prefix: "/read/", Service: "programma", Resource: "sessions",
+	Idempotent: true, Retry: mesh.Retry{Attempts: 3}, Deadline: 20_000,
+}
+
+// Guards against a request that is repeated by the route of a cleaned path, which its own path does not name.
+func TestRawPathDecidesOnRepeats(t *testing.T) {
+	Convey("Only a path that the prefix begins byte for byte is repeated after a lost answer", t, func() {
+		for _, c := range []struct {
+			target   string
+			attempts int
+		}{
+			{"/read/1", 3},
+			{"/read/../book", 3},
+			{"/read%2F1", 1},
+			{"//read/1", 1},
+			{"/book/../read/1", 1},
+			{"/./read/1", 1},
+			{"/%72ead/1", 1},
+			{"/book?/read/1", 1},
+		} {
+			f := newFleet(t, dropSession, dropSession, dropSession)
+			f.ingress.State.Install(testSnapshot(t, readRoute), time.Now())
+			f.status("POST", c.target, "")
+			SoMsg(c.target, f.totalCalls(), ShouldEqual, c.attempts)
+			f.close()
+		}
+	})
+}
