Pass the request target on as sent

The fingerprint of the quarantine, taken after that, was also one of the cleaned path: a crash of /a%2Fb counted against /a/b. What servers saw: a request for another resource than was sent, for example /cobro/guia/norte/via for /cobro/guia%2Fnorte%2Fvia.

--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -17,7 +17,6 @@
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/wire/peerpb"
 	"github.com/rs/zerolog"
-	"github.com/valyala/fasthttp"
 )
 
 // Errors of a call. Their texts reach the caller in failureBody.
@@ -256,14 +255,15 @@
 	}
 }
 
-// newCallMessage returns the call message for a request. It refers to memory of req and is
+// newCallMessage returns the call message for a request. It refers to memory of x and is
 // valid only until the task of the request returns.
-func newCallMessage(req *fasthttp.Request, snap *mesh.Snapshot, m *mesh.Match, caller string) *peerpb.Call {
+func newCallMessage(x *callerhttp.Exchange, snap *mesh.Snapshot, m *mesh.Match, caller string) *peerpb.Call {
+	req := &x.Request
 	return &peerpb.Call{
 		Id:               rand.Uint64(),
 		Route:            m.Route.Name,
 		Method:           string(req.Header.Method()),
-		Uri:              string(req.RequestURI()),
+		Uri:              x.Target.Raw,
 		Host:             string(req.URI().Host()),
 		Headers:          forwardedHeaders(&req.Header),
 		Body:             req.Body(),
@@ -274,12 +274,12 @@
 		Priority:         string(m.Owner.Priority),
 		Rank:             rank(m),
 		MaxResponseBytes: m.Resource.MaxResponseBytes,
-		Fingerprint:      requestFingerprint(req, caller),
+		Fingerprint:      requestFingerprint(x, caller),
 	}
 }
 
 // requestFingerprint returns what identifies requests that ask for the same.
-func requestFingerprint(req *fasthttp.Request, caller string) uint64 {
-	h := &req.Header
-	return uint64(quarantine.FingerprintOf(caller, string(h.Method()), string(req.URI().Host()), string(h.RequestURI()), req.Body()))
+func requestFingerprint(x *callerhttp.Exchange, caller string) uint64 {
+	req := &x.Request
+	return uint64(quarantine.FingerprintOf(caller, string(req.Header.Method()), string(req.URI().Host()), x.Target.Raw, req.Body()))
 }
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -88,7 +88,7 @@
 		exchange:  x,
 		match:     m,
 		target:    target,
-		message:   newCallMessage(&x.Request, r.snapshot, m, g.Caller),
+		message:   newCallMessage(x, r.snapshot, m, g.Caller),
 		objective: x.Arrived().Add(m.Route.Objective.Duration()),
 		retry:     retry.NewCall(&g.Router.Retry, m.Route, g.Router.Budget(target.Name), r.deadline),
 	}
--- a/node/proxy/ingress/target_test.go
+++ b/node/proxy/ingress/target_test.go
@@ -64,3 +64,31 @@
 		}
 	})
 }
+
+// Guards against a target that is decoded, cleaned or rebuilt before the backend server gets it.
+func TestTargetIsPassedOnAsSent(t *testing.T) {
+	Convey("The node of the server gets the bytes of the target", t, func() {
+		for _, target := range []string{
+			"/a%2Fb", "/a//b", "//a", "/a/../b", "/a/%2e%2E/b", "/a\\b", "/%zz", "/(1)", "/it's", "/a%2Bb", "/a+b", "/\xc3\xa9",
+			"/?", "/a?b=%2F//../&c=/", "/a?b?c", "http://programma.example/a%2Fb", "http://programma.example?q=1",
+		} {
+			f := newFleet(t, replyOK)
+			status, _ := f.status("POST", target, "")
+			SoMsg(target, status, ShouldEqual, http.StatusOK)
+			So(f.peers["vm0"].firstCall().GetUri(), ShouldEqual, target)
+			f.close()
+		}
+	})
+}
+
+// Guards against a crash that quarantines requests for other targets, whose cleaned path is the same.
+func TestFingerprintOfTheRawTarget(t *testing.T) {
+	Convey("After /a%2Fb crashed its servers, /a/b and /a//b still reach a server", t, func() {
+		f := newFleet(t, replyCrashed(3))
+		defer f.close()
+		for i, target := range []string{"/a%2Fb", "/a/b", "/a//b"} {
+			f.status("GET", target, "")
+			SoMsg(target, f.totalCalls(), ShouldEqual, i+1)
+		}
+	})
+}
