Pass the Host header on as sent

Cause: route and call took the host from fasthttp's URI, which writes it in lower case and, for a target such as //other.example/://x, takes it from the target instead of the header. What callers saw: the request for their host was routed by another one, and the server got a changed Host. The quarantine's fingerprint now also has the host as sent.

--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -264,7 +264,7 @@
 		Route:            m.Route.Name,
 		Method:           string(req.Header.Method()),
 		Uri:              x.Target.Raw,
-		Host:             string(req.URI().Host()),
+		Host:             x.Target.Host,
 		Headers:          forwardedHeaders(&req.Header),
 		Body:             req.Body(),
 		Caller:           caller,
@@ -281,5 +281,5 @@
 // requestFingerprint returns what identifies requests that ask for the same.
 func requestFingerprint(x *callerhttp.Exchange, caller string) uint64 {
 	req := &x.Request
-	return uint64(quarantine.FingerprintOf(caller, string(req.Header.Method()), string(req.URI().Host()), x.Target.Raw, req.Body()))
+	return uint64(quarantine.FingerprintOf(caller, string(req.Header.Method()), x.Target.Host, x.Target.Raw, req.Body()))
 }
--- a/node/proxy/ingress/request.go
+++ b/node/proxy/ingress/request.go
@@ -28,7 +28,7 @@
 	if r.snapshot == nil {
 		return r
 	}
-	r.match = r.snapshot.MatchRoute(string(x.Request.URI().Host()), string(x.Request.Header.Method()), x.Target.Path)
+	r.match = r.snapshot.MatchRoute(x.Target.Host, string(x.Request.Header.Method()), x.Target.Path)
 	if r.match != nil {
 		r.deadline = x.Arrived().Add(g.requestTimeout(x, r.match))
 	}
--- a/node/proxy/ingress/target_test.go
+++ b/node/proxy/ingress/target_test.go
@@ -92,3 +92,20 @@
 		}
 	})
 }
+
+// Guards against a Host header that is changed on the way, or replaced by a host that stands in the target.
+func TestHostIsPassedOnAsSent(t *testing.T) {
+	Convey("The node of the server gets the bytes of the Host header", t, func() {
+		for _, c := range []struct{ target, host string }{
+			{"/", "Programma.EXAMPLE:8080"},
+			{"//other.example/://x", "programma.example"},
+			{"HTTP://programma.example/", "PROGRAMMA.example"},
+		} {
+			f := newFleet(t, replyOK)
+			status, _ := f.rawStatus(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.target, c.host))
+			SoMsg(c.target+" at "+c.host, status, ShouldEqual, http.StatusOK)
+			So(f.peers["vm0"].firstCall().GetHost(), ShouldEqual, c.host)
+			f.close()
+		}
+	})
+}
