Check calls of other nodes by the path as sent

Cause: the egress that checks calls against its release cleaned the path with fasthttp, so that it allowed a call whose path no prefix begins (/x/../seats/1), and refused the absolute form of a target. Now it reads target and host as the ingress does.

--- a/node/proxy/egress/check.go
+++ b/node/proxy/egress/check.go
@@ -8,8 +8,8 @@
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/release"
+	"auburnladder.example/core/target"
 	"auburnladder.example/wire/peerpb"
-	"github.com/valyala/fasthttp"
 )
 
 // refusalError is the reason why a call was not run. retryAfter is the backoff sent to
@@ -121,12 +121,11 @@
 // findRoute returns the route of the call in snap, or nil if no route leads this request
 // to the called service.
 func findRoute(snap *mesh.Snapshot, call *peerpb.Call) *mesh.Match {
-	u := fasthttp.AcquireURI()
-	defer fasthttp.ReleaseURI(u)
-	if err := u.Parse([]byte(call.GetHost()), []byte(call.GetUri())); err != nil {
+	t, err := target.Parse(call.GetMethod(), call.GetUri(), call.GetHost())
+	if err != nil {
 		return nil
 	}
-	m := snap.MatchRoute(call.GetHost(), call.GetMethod(), string(u.Path()))
+	m := snap.MatchRoute(t.Host, call.GetMethod(), t.Path)
 	if m == nil || m.Target.Name != call.GetService() {
 		return nil
 	}
--- a/node/proxy/egress/egress_test.go
+++ b/node/proxy/egress/egress_test.go
@@ -34,6 +34,10 @@
 		"unlisted peer":      {func(r *egressRig, c *peerpb.Call) { r.peerInfo.VM, c.Caller = "shop-2", "shop" }, peerpb.Refusal_REFUSAL_STARTING},
 		"no time left":       {func(_ *egressRig, c *peerpb.Call) { c.RemainingUs = 0 }, peerpb.Refusal_REFUSAL_DEADLINE},
 		"split header":       {func(_ *egressRig, c *peerpb.Call) { c.Headers = []*peerpb.Header{{Name: "A", Value: "b\r\nC: d"}} }, peerpb.Refusal_REFUSAL_BAD_REQUEST},
+		"encoded slash":      {func(_ *egressRig, c *peerpb.Call) { c.Uri = "/x/..%2F../seats" }, peerpb.Refusal_REFUSAL_FORBIDDEN},
+		"dot segments":       {func(_ *egressRig, c *peerpb.Call) { c.Uri = "/x/../seats/1" }, peerpb.Refusal_REFUSAL_FORBIDDEN},
+		"two hosts":          {func(_ *egressRig, c *peerpb.Call) { c.Uri = "http://shop.test/seats/1" }, peerpb.Refusal_REFUSAL_BAD_REQUEST},
+		"fragment":           {func(_ *egressRig, c *peerpb.Call) { c.Uri = "/seats/1#a" }, peerpb.Refusal_REFUSAL_BAD_REQUEST},
 		"split uri":          {func(_ *egressRig, c *peerpb.Call) { c.Uri = "/seats HTTP/1.1\r\nA: b" }, peerpb.Refusal_REFUSAL_BAD_REQUEST},
 		"method not token":   {func(_ *egressRig, c *peerpb.Call) { c.Method = "PO ST" }, peerpb.Refusal_REFUSAL_BAD_REQUEST},
 		"resumed after 60 s": {func(r *egressRig, _ *peerpb.Call) { r.clockOffset.Store(int64(time.Minute)) }, peerpb.Refusal_REFUSAL_STARTING},
@@ -117,6 +121,16 @@
 			st.Close()
 			r.close()
 		})
+		Convey("the request target reaches the server as sent", func() {
+			r.server.handle = func(conn net.Conn, _ *bufio.Reader, req *http.Request) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(req.RequestURI), req.RequestURI)
+				return true
+			}
+			for _, uri := range []string{"/seats/a%2Fb//c", "/seats/../%2e?q=../%2F", "http://tickets.test/seats/1"} {
+				expectRan("POST", uri, 200, uri)
+			}
+			r.close()
+		})
 		Convey("a duplicate call ID is refused, a retry of an idempotent call is not", func() {
 			call := r.call()
 			So(r.do(call).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
--- a/node/proxy/egress/server_request.go
+++ b/node/proxy/egress/server_request.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"auburnladder.example/core/target"
 	"auburnladder.example/node/proxy"
 	"auburnladder.example/node/tracing"
 	"auburnladder.example/wire/peerpb"
@@ -25,11 +26,11 @@
 	if !validToken(call.GetMethod()) {
 		return fmt.Errorf("%w: method %q", errBadRequest, call.GetMethod())
 	}
-	if !strings.HasPrefix(call.GetUri(), "/") || strings.ContainsFunc(call.GetUri(), invalidURIRune) {
-		return fmt.Errorf("%w: uri %q", errBadRequest, call.GetUri())
+	if _, err := target.Parse(call.GetMethod(), call.GetUri(), call.GetHost()); err != nil {
+		return fmt.Errorf("%w: uri %q, host %q: %w", errBadRequest, call.GetUri(), call.GetHost(), err)
 	}
-	if call.GetHost() == "" || strings.ContainsFunc(call.GetHost(), invalidURIRune) {
-		return fmt.Errorf("%w: host %q", errBadRequest, call.GetHost())
+	if call.GetHost() == "" {
+		return fmt.Errorf("%w: no host", errBadRequest)
 	}
 	for _, h := range call.GetHeaders() {
 		if !validToken(h.GetName()) || strings.ContainsAny(h.GetValue(), "\r\n\x00") {
@@ -57,8 +58,6 @@
 	req.Header.Set(names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 }
 
-func invalidURIRune(r rune) bool { return r <= ' ' || r == 0x7f }
-
 // buildRequest fills req from the call. A nil body means that the call contains its
 // complete body.
 func buildRequest(req *fasthttp.Request, call *peerpb.Call, body io.Reader, traceparent string) {
