Explain a request by the path and host as sent

Cause: the command decoded the path of its URL and dropped the port, the node matched whatever it got, with its query, and compared the host byte for byte only with the hosts of services. So it named another route than the node's own for an encoded slash, and 'no questionnaire names host' for a host with a port or one that only a route names. Now both read the request by core/target; a request that the node would refuse has the outcome 'invalid'. Methods are taken as typed, as a node takes them.

--- a/cli/query/explain.go
+++ b/cli/query/explain.go
@@ -14,6 +14,7 @@
 	"auburnladder.example/cli/fleet"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/statusapi"
+	"auburnladder.example/core/target"
 )
 
 type explainFlags struct {
@@ -28,8 +29,8 @@
 	cmd.Flag("node", "Admin address ip:port of the node.").Required().StringVar(&f.node)
 	cmd.Flag("caller", "Who calls: public or the name of a service.").Default(mesh.PublicCaller).StringVar(&f.caller)
 	cmd.Flag("vm", "VM to explain, in place of a request.").StringVar(&f.vm)
-	cmd.Arg("method", "HTTP method.").StringVar(&f.method)
-	cmd.Arg("url", "URL of the request, such as http://programma.zaalwijzer.example/sessions.").StringVar(&f.url)
+	cmd.Arg("method", "HTTP method, in upper case as callers send it.").StringVar(&f.method)
+	cmd.Arg("url", "URL of the request as the caller sends it, such as http://programma.zaalwijzer.example/sessions.").StringVar(&f.url)
 	cmd.Action(func(*kingpin.ParseContext) error { return f.run(c) })
 }
 
@@ -50,13 +51,14 @@
 }
 
 func (f *explainFlags) explainRequest(c *console.Console, client *fleet.Client, addr netip.AddrPort) error {
-	u, err := url.Parse(f.url)
-	if err != nil || u.Hostname() == "" || f.method == "" {
-		return fmt.Errorf("found %q %q, expected METHOD http://HOST/PATH", f.method, f.url)
+	t, err := target.Parse(f.method, f.url, "")
+	if err != nil {
+		return fmt.Errorf("found %q %q, expected METHOD http://HOST/PATH: %w", f.method, f.url, err)
 	}
-	query := url.Values{
-		"method": {strings.ToUpper(f.method)}, "host": {u.Hostname()}, "path": {orRoot(u.Path)}, "caller": {f.caller},
+	if t.Host == "" || f.method == "" {
+		return fmt.Errorf("found %q %q, expected METHOD http://HOST/PATH", f.method, f.url)
 	}
+	query := url.Values{"method": {f.method}, "host": {t.Host}, "path": {t.Path}, "caller": {f.caller}}
 	var e statusapi.Explanation
 	if err := client.Get(addr, statusapi.ExplainPath+"?"+query.Encode(), &e); err != nil {
 		return console.Failed("%w", err)
@@ -101,14 +103,6 @@
 	}
 }
 
-// orRoot returns path, or "/" if it is empty.
-func orRoot(path string) string {
-	if path == "" {
-		return "/"
-	}
-	return path
-}
-
 func printExplanation(c *console.Console, e statusapi.Explanation) error {
 	c.Printf("node %s, release %s: %s\n", e.VM, e.Held, e.Outcome)
 	if e.Reason != "" {
--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -247,6 +247,13 @@
 	return nil
 }
 
+// HasHost reports whether a service or a route names the host. It ignores its case and a port
+// in it.
+func (s *Snapshot) HasHost(host string) bool {
+	_, found := s.hosts[hostName(host)]
+	return found
+}
+
 // allowsMethod reports whether the route accepts requests with the method.
 func (r *Route) allowsMethod(method string) bool {
 	return r.Methods[0] == AnyMethod || slices.Contains(r.Methods, method)
--- a/core/statusapi/explain.go
+++ b/core/statusapi/explain.go
@@ -6,7 +6,8 @@
 
 const (
 	// ExplainPath returns an Explanation. The query parameters method, host, path and
-	// caller are all required.
+	// caller are all required. host is the Host header and path the request target, as a
+	// caller sends them.
 	ExplainPath = "/v1/explain"
 	// ExplainVMPath returns a VMExplanation of the VM in the query parameter vm.
 	ExplainVMPath = "/v1/explain/vm"
@@ -60,6 +61,8 @@
 	OutcomeRouted Outcome = "routed"
 	// OutcomeNoRelease means that the node holds no release yet.
 	OutcomeNoRelease Outcome = "no-release"
+	// OutcomeInvalid means that the request is not valid HTTP.
+	OutcomeInvalid Outcome = "invalid"
 	// OutcomeNoRoute means that no route matches the request.
 	OutcomeNoRoute Outcome = "no-route"
 	// OutcomeForbidden means that the service does not list the caller.
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -84,8 +84,8 @@
 
 // serveExplanation sends how the node would handle the request that the parameters describe.
 func serveExplanation(c fiber.Ctx, q *query.Querier) error {
-	req := query.Request{Method: c.Query("method"), Host: c.Query("host"), Path: c.Query("path"), Caller: c.Query("caller")}
-	if req.Method == "" || req.Host == "" || req.Path == "" || req.Caller == "" {
+	req := query.Request{Method: c.Query("method"), Host: c.Query("host"), Target: c.Query("path"), Caller: c.Query("caller")}
+	if req.Method == "" || req.Host == "" || req.Target == "" || req.Caller == "" {
 		return sendError(c, fiber.StatusBadRequest, errors.New("the parameters method, host, path and caller are all required"))
 	}
 	return c.JSON(q.Explain(req))
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -209,6 +209,11 @@
 		{"another caller", "method=POST&host=orders.example&path=/items&caller=shop", statusapi.OutcomeForbidden, `do not include "shop"`},
 		{"another method", "method=PUT&host=orders.example&path=/items&caller=public", statusapi.OutcomeNoRoute, "routes for GET, HEAD, POST only"},
 		{"another path", "method=GET&host=orders.example&path=/itemsx&caller=public", statusapi.OutcomeNoRoute, "has a prefix of path"},
+		{"an encoded slash", "method=POST&host=orders.example&path=/items%252F1&caller=public", statusapi.OutcomeNoRoute, `of path "/items%2F1"`},
+		{"dot segments", "method=POST&host=orders.example&path=/x/../items&caller=public", statusapi.OutcomeNoRoute, `of path "/x/../items"`},
+		{"a query and a port", "method=POST&host=Orders.example:80&path=/items?a=/b&caller=public", statusapi.OutcomeRouted, ""},
+		{"a known host with a port", "method=GET&host=Orders.example:80&path=/x&caller=public", statusapi.OutcomeNoRoute, "has a prefix of path"},
+		{"a fragment", "method=POST&host=orders.example&path=/items%23a&caller=public", statusapi.OutcomeInvalid, "'#'"},
 		{"another host", "method=GET&host=x.example&path=/items&caller=public", statusapi.OutcomeNoRoute, "no questionnaire names host"},
 	}
 	for _, c := range cases {
--- a/node/query/explain.go
+++ b/node/query/explain.go
@@ -8,6 +8,7 @@
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/questionnaire"
 	"auburnladder.example/core/statusapi"
+	"auburnladder.example/core/target"
 )
 
 // Request describes the request that Explain evaluates.
@@ -15,8 +16,8 @@
 	Method string
 	// Host is the value of the Host header.
 	Host string
-	// Path is the path of the URL.
-	Path string
+	// Target is the request target: the path of the URL and its query, as sent.
+	Target string
 	// Caller is the identity of the caller: mesh.PublicCaller or the name of a service.
 	Caller string
 }
@@ -32,10 +33,16 @@
 		return e
 	}
 	e.Held = snap.Version
-	match := snap.MatchRoute(req.Host, req.Method, req.Path)
+	t, err := target.Parse(req.Method, req.Target, req.Host)
+	if err != nil {
+		e.Outcome = statusapi.OutcomeInvalid
+		e.Reason = err.Error()
+		return e
+	}
+	match := snap.MatchRoute(t.Host, req.Method, t.Path)
 	if match == nil {
 		e.Outcome = statusapi.OutcomeNoRoute
-		e.Reason = noRouteReason(snap, req)
+		e.Reason = noRouteReason(snap, t)
 		return e
 	}
 	e.Route = explainRoute(match)
@@ -87,17 +94,14 @@
 	return routes
 }
 
-// noRouteReason returns which part of req matches no route: the host, the method or the path.
-func noRouteReason(snap *mesh.Snapshot, req Request) string {
+// noRouteReason returns which part of a request matches no route: the host, the method or the
+// path.
+func noRouteReason(snap *mesh.Snapshot, t target.Target) string {
 	var methods []string
-	hostKnown := false
 	for _, svc := range snap.Services() {
-		for _, h := range svc.Hosts {
-			hostKnown = hostKnown || h == req.Host
-		}
 		for _, r := range svc.Routes {
 			for _, method := range r.Methods {
-				if m := snap.MatchRoute(req.Host, method, req.Path); m != nil && m.Route.Name == r.Name && m.Owner == svc {
+				if m := snap.MatchRoute(t.Host, method, t.Path); m != nil && m.Route.Name == r.Name && m.Owner == svc {
 					methods = append(methods, method)
 				}
 			}
@@ -106,12 +110,12 @@
 	slices.Sort(methods)
 	methods = slices.Compact(methods)
 	switch {
-	case !hostKnown:
-		return fmt.Sprintf("no questionnaire names host %q", req.Host)
+	case !snap.HasHost(t.Host):
+		return fmt.Sprintf("no questionnaire names host %q", t.Host)
 	case len(methods) > 0:
 		return fmt.Sprintf("the path has routes for %s only", strings.Join(methods, ", "))
 	default:
-		return fmt.Sprintf("no route of host %q has a prefix of path %q", req.Host, req.Path)
+		return fmt.Sprintf("no route of host %q has a prefix of path %q", t.Host, t.Path)
 	}
 }
 
