Tell hosts that are IPv6 addresses apart

Cause: hostName cut the host at its first colon, so every IPv6 address had the name '[2001' or '['. What callers saw: a request for one such host got the route of another.

--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// Guards against a request that is routed by the host of another IPv6 address.
+func TestRouteOfIPv6Host(t *testing.T) {
+	Convey("An IPv6 address is a host like any other, with and without a port", t, func() {
+		one, two := testService("a", "a"), testService("b", "b")
+		one.Hosts, two.Hosts = nil, nil
+		for i := range one.Routes {
+			one.Routes[i].Host, two.Routes[i].Host = "[2001:DB8::1]", "[2001:db8::2]:80"
+		}
+		v, chunks := encodeRelease(one, two)
+		s, err := Build(v, chunkSource(chunks))
+		So(err, ShouldBeNil)
+		So(s.MatchRoute("[2001:db8::1]:8080", "GET", "/").Owner.Name, ShouldEqual, "a")
+		So(s.MatchRoute("[2001:db8::2]", "GET", "/").Owner.Name, ShouldEqual, "b")
+		So(s.MatchRoute("[2001:db8::3]", "GET", "/"), ShouldBeNil)
+	})
+}
+
 // TestBuild guards against a snapshot that is built from an incomplete, altered or
 // inconsistent release.
 func TestBuild(t *testing.T) {
--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -266,8 +266,9 @@
 
 // hostName returns the host name of an HTTP authority in lower case, without the port.
 func hostName(authority string) string {
-	name, _, _ := strings.Cut(authority, ":")
-	return strings.ToLower(name)
+	end := strings.IndexByte(authority, ']') + 1 // behind the colons of an IPv6 address
+	name, _, _ := strings.Cut(authority[end:], ":")
+	return strings.ToLower(authority[:end] + name)
 }
 
 // hasPathPrefix reports whether path starts with prefix at a segment boundary.
