Heed each Connection header of a request

Cause: forwardedHeaders looked at the first Connection header only. What servers saw: a header that concerns one connection, named by a second Connection header, was passed on.

--- a/node/proxy/ingress/headers.go
+++ b/node/proxy/ingress/headers.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 	"time"
@@ -13,7 +14,7 @@
 // forwardedHeaders returns the headers of a caller's request that are forwarded: all but
 // hop-by-hop headers and those that only nodes may set.
 func forwardedHeaders(h *fasthttp.RequestHeader) []*peerpb.Header {
-	connection := string(h.Peek("Connection"))
+	connection := string(bytes.Join(h.PeekAll(fasthttp.HeaderConnection), []byte(",")))
 	out := make([]*peerpb.Header, 0, h.Len())
 	for k, v := range h.All() {
 		name := string(k)
@@ -51,7 +52,7 @@
 	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
 }
 
-// listsHeader reports whether the value of a Connection header lists the named header.
+// listsHeader reports whether the value of the Connection headers lists the named header.
 func listsHeader(connection, name string) bool {
 	if connection == "" {
 		return false
--- a/node/proxy/ingress/ingress_test.go
+++ b/node/proxy/ingress/ingress_test.go
@@ -311,6 +311,20 @@
 	})
 }
 
+// Guards against a header that a second Connection header names as hop-by-hop and that is forwarded all the same.
+func TestEachConnectionHeaderCounts(t *testing.T) {
+	Convey("Headers named by any Connection header are not forwarded", t, func() {
+		f := newFleet(t, replyOK)
+		defer f.close()
+		f.status("GET", "/", "", "X-One: 1", "Connection: keep-alive, X-One", "x-two: 2", "Connection: x-two, close", "X-Three: 3")
+		names := make(map[string]bool)
+		for _, h := range f.peers["vm0"].firstCall().GetHeaders() {
+			names[h.GetName()] = true
+		}
+		So(names, ShouldResemble, map[string]bool{"X-Three": true})
+	})
+}
+
 // Guards against connections that stay open for callers that send a request too slowly.
 func TestSlowSenderIsCutOff(t *testing.T) {
 	Convey("A caller that never completes its request gets a 4xx status or a closed connection", t, func() {
