Pass header values on as sent

Cause: fasthttp keeps some headers apart. Reading all headers parsed the cookies and joined them; writing parsed and joined them again, left an empty User-Agent out and added 'Content-Type: application/octet-stream' to a body that had none. What servers saw: 'a=1; b=2; c' for 'a=1;b=2; ;c', one Cookie header for two, and a content type that nobody sent. Now the ingress reads the head as it arrived and the egress writes the headers of the call as they are.

--- a/node/proxy/egress/egress_test.go
+++ b/node/proxy/egress/egress_test.go
@@ -131,6 +131,25 @@
 			}
 			r.close()
 		})
+		Convey("header values reach the server as sent, and none is added", func() {
+			var got http.Header
+			r.server.handle = func(conn net.Conn, b *bufio.Reader, req *http.Request) bool {
+				got = req.Header.Clone()
+				return serveOK(conn, b, req)
+			}
+			call := r.call()
+			call.Headers = []*peerpb.Header{
+				{Name: "Cookie", Value: `a=1;b="2 3"; ;c`},
+				{Name: "Cookie", Value: "a=2"},
+				{Name: "User-Agent", Value: ""},
+				{Name: "X-Request-Id", Value: "7"},
+			}
+			So(r.do(call).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
+			So(got, ShouldResemble, http.Header{
+				"Cookie": {`a=1;b="2 3"; ;c`, "a=2"}, "User-Agent": {""}, "X-Request-Id": {"7"}, "Content-Length": {"4"},
+			})
+			r.close()
+		})
 		Convey("a duplicate call ID is refused, a retry of an idempotent call is not", func() {
 			call := r.call()
 			So(r.do(call).GetVerdict(), ShouldEqual, peerpb.Verdict_VERDICT_RAN)
--- a/node/proxy/egress/server_request.go
+++ b/node/proxy/egress/server_request.go
@@ -61,14 +61,16 @@
 // buildRequest fills req from the call. A nil body means that the call contains its
 // complete body.
 func buildRequest(req *fasthttp.Request, call *peerpb.Call, body io.Reader, traceparent string) {
+	// Without this, cookies would be rebuilt, and a Content-Type added.
+	req.Header.DisableSpecialHeader()
 	req.Header.SetMethod(call.GetMethod())
 	req.Header.SetRequestURI(call.GetUri())
+	req.Header.Set(fasthttp.HeaderHost, call.GetHost())
 	for _, h := range call.GetHeaders() {
 		if name := textproto.CanonicalMIMEHeaderKey(h.GetName()); proxy.EndToEnd(name) && name != "Expect" {
 			req.Header.Add(name, h.GetValue())
 		}
 	}
-	req.Header.SetHost(call.GetHost())
 	if traceparent != "" {
 		req.Header.Set(tracing.Header, traceparent)
 	}
--- a/node/proxy/ingress/headers.go
+++ b/node/proxy/ingress/headers.go
@@ -12,11 +12,12 @@
 )
 
 // forwardedHeaders returns the headers of a caller's request that are forwarded: all but
-// hop-by-hop headers and those that only nodes may set.
+// hop-by-hop headers and those that only nodes may set. Values are as sent; h.All would rebuild
+// cookies.
 func forwardedHeaders(h *fasthttp.RequestHeader) []*peerpb.Header {
 	connection := string(bytes.Join(h.PeekAll(fasthttp.HeaderConnection), []byte(",")))
 	out := make([]*peerpb.Header, 0, h.Len())
-	for k, v := range h.All() {
+	for k, v := range h.AllInOrder() {
 		name := string(k)
 		if proxy.EndToEnd(name) && !listsHeader(connection, name) {
 			out = append(out, &peerpb.Header{Name: name, Value: string(v)})
--- a/node/proxy/ingress/target_test.go
+++ b/node/proxy/ingress/target_test.go
@@ -109,3 +109,19 @@
 		}
 	})
 }
+
+// Guards against headers whose values are rebuilt, or that are left out because they are empty.
+func TestHeaderValuesArePassedOnAsSent(t *testing.T) {
+	Convey("The node of the server gets the values and the order of the headers", t, func() {
+		f := newFleet(t, replyOK)
+		defer f.close()
+		sent := []string{"Cookie: a=1;b=\"2 3\"; ;c", "X-B: 1", "Cookie: a=2", "User-Agent: ", "X-A: a,b", "X-B: 2"}
+		status, _ := f.status("POST", "/", "body", sent...)
+		So(status, ShouldEqual, http.StatusOK)
+		var got []string
+		for _, h := range f.peers["vm0"].firstCall().GetHeaders() {
+			got = append(got, h.GetName()+": "+h.GetValue())
+		}
+		So(got, ShouldResemble, sent)
+	})
+}
