--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -57,6 +57,12 @@
 	return len(p.calls)
 }
 
+func (p *fakePeer) lastCall() *peerpb.Call {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[len(p.calls)-1]
+}
+
 func (p *fakePeer) firstCall() *peerpb.Call {
 	p.mu.Lock()
 	defer p.mu.Unlock()
