Soak: targets that programs read differently

Now its reads and bookings also have encoded slashes, empty and dot segments, encoded letters and slashes in the query; bookings beside a prefix whose requests may be repeated; and the servers' targets are compared with what was sent.

--- a/e2e/harness/soak.go
+++ b/e2e/harness/soak.go
@@ -30,6 +30,13 @@
 	soakSettle = 3 * time.Second
 )
 
+// Targets of the soak, by the number of the request. Programs read their paths differently. No
+// path of a booking begins with standin.LookUpPrefix.
+var (
+	soakReads    = []string{"/x/%d", "/x//%d", "/x/a%%2F%d", "/x/../%d", "/x/(%d)'*", "/x/%%78?a=/../%%2F%d"}
+	soakBookings = []string{"/%d", "/look-up%%2F%d", "//look-up/%d", "/%%6cook-up/%d", "/a/../look-up/%d", "/./look-up/%d?a=//look-up/"}
+)
+
 // Soak runs a seeded series of overlapping faults against a cluster while callers send requests
 // on kept connections.
 type Soak struct {
@@ -43,8 +50,9 @@
 	vmBusy    []sync.Mutex
 	storeBusy sync.Mutex
 
-	mu         sync.Mutex
-	executions map[string]int
+	mu sync.Mutex
+	// executions holds the target of each run of a request, by its ID.
+	executions map[string][]string
 	requests   []soakRequest
 	unplanned  []interval
 	timeline   []string
@@ -58,7 +66,7 @@
 
 // soakRequest is one request as its caller saw it.
 type soakRequest struct {
-	id         string
+	id, target string
 	idempotent bool
 	sent, done time.Time
 	// status is 0 if there was no response.
@@ -77,7 +85,7 @@
 func NewSoak(c *StoreCluster, seed uint64) *Soak {
 	s := &Soak{
 		cluster: c, seed: seed, plannedOnly: seed%3 == 0, started: time.Now(),
-		vmBusy: make([]sync.Mutex, len(c.VMs)), executions: make(map[string]int), version: 3,
+		vmBusy: make([]sync.Mutex, len(c.VMs)), executions: make(map[string][]string), version: 3,
 	}
 	for _, vm := range c.VMs {
 		vm.Server.OnRun = s.recordRun
@@ -261,11 +269,13 @@
 // send sends one request and records what came of it.
 func (s *Soak) send(client *http.Client, vm *StoreVM, id string, n int) {
 	r := soakRequest{id: id, idempotent: n%2 == 0}
-	method, host, path, service := http.MethodPost, standin.BookHost, fmt.Sprintf("/%d", n), "b"
+	method, host, service := http.MethodPost, standin.BookHost, "b"
+	r.target = fmt.Sprintf(soakBookings[n/2%len(soakBookings)], n)
 	if r.idempotent {
-		method, host, path, service = http.MethodGet, standin.ReadHost, fmt.Sprintf("/x/%d", n%20), "a"
+		method, host, service = http.MethodGet, standin.ReadHost, "a"
+		r.target = fmt.Sprintf(soakReads[n/2%len(soakReads)], n%20)
 	}
-	req, err := http.NewRequest(method, "http://"+vm.Address(storeCallerPort)+path, nil)
+	req, err := http.NewRequest(method, "http://"+vm.Address(storeCallerPort)+r.target, nil)
 	if err != nil {
 		s.violate("%s: %v", id, err)
 		return
@@ -327,7 +337,12 @@
 // checkRequests compares what callers got with what the servers ran.
 func (s *Soak) checkRequests() {
 	for _, r := range s.requests {
-		runs := s.executions[r.id]
+		runs := len(s.executions[r.id])
+		for _, target := range s.executions[r.id] {
+			if target != r.target {
+				s.violate("%s was sent as %s and ran as %s", r.id, r.target, target)
+			}
+		}
 		promised := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
 		switch {
 		case r.idempotent:
@@ -366,10 +381,10 @@
 	return true
 }
 
-func (s *Soak) recordRun(id string) {
+func (s *Soak) recordRun(id, target string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.executions[id]++
+	s.executions[id] = append(s.executions[id], target)
 }
 
 // log adds a line to the timeline and returns the time.
