Don't take trailer fields for headers of a request

Cause: fasthttp's Peek also looks behind the body. What callers saw: a request with a trailer X-Request-Deadline-Ms was refused with 503 by that value, which the server would never have got; and a trailer Traceparent was passed on as a header.

--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -196,7 +196,7 @@
 
 // requestID returns the request ID from the caller's header, or "" if there is none.
 func (c *call) requestID() string {
-	return string(c.exchange.Request.Header.Peek(cmp.Or(c.ingress.Headers.RequestID, proxy.RequestIDHeader)))
+	return string(header(&c.exchange.Request.Header, cmp.Or(c.ingress.Headers.RequestID, proxy.RequestIDHeader)))
 }
 
 // fingerprint returns what identifies requests that ask for the same.
@@ -268,7 +268,7 @@
 		Headers:          forwardedHeaders(&req.Header),
 		Body:             req.Body(),
 		Caller:           caller,
-		Traceparent:      string(req.Header.Peek("Traceparent")),
+		Traceparent:      string(header(&req.Header, "Traceparent")),
 		Release:          &peerpb.Version{Sequence: snap.Version.Sequence, Digest: snap.Version.Digest[:]},
 		Idempotent:       m.Route.Idempotent,
 		Priority:         string(m.Owner.Priority),
--- a/node/proxy/ingress/headers.go
+++ b/node/proxy/ingress/headers.go
@@ -26,6 +26,20 @@
 	return out
 }
 
+// header returns the value of a header of a caller's request, whose name is in canonical form.
+// Unlike h.Peek it leaves out fields behind the body, which the backend server doesn't get.
+func header(h *fasthttp.RequestHeader, name string) []byte {
+	if len(h.PeekTrailerKeys()) == 0 {
+		return h.Peek(name)
+	}
+	for k, v := range h.All() {
+		if string(k) == name {
+			return v
+		}
+	}
+	return nil
+}
+
 // dropNodeHeaders removes the headers that the server's node sets itself, so that a caller
 // cannot forge them.
 func (g *Ingress) dropNodeHeaders(m *peerpb.Call) {
--- a/node/proxy/ingress/request.go
+++ b/node/proxy/ingress/request.go
@@ -42,7 +42,7 @@
 	if g.Headers.Deadline == "" {
 		return limit
 	}
-	ms, err := strconv.ParseInt(string(x.Request.Header.Peek(g.Headers.Deadline)), 10, 32)
+	ms, err := strconv.ParseInt(string(header(&x.Request.Header, g.Headers.Deadline)), 10, 32)
 	if err != nil {
 		return limit
 	}
--- a/node/proxy/ingress/response.go
+++ b/node/proxy/ingress/response.go
@@ -66,7 +66,7 @@
 func (g *Ingress) refuse(x *callerhttp.Exchange, status int, reason string) {
 	metrics.notRun.Add(1)
 	g.Decisions.Warn("request-refused").
-		Bytes("request", x.Request.Header.Peek(cmp.Or(g.Headers.RequestID, proxy.RequestIDHeader))).
+		Bytes("request", header(&x.Request.Header, cmp.Or(g.Headers.RequestID, proxy.RequestIDHeader))).
 		Str("caller", g.Caller).Str("host", x.Target.Host).Str("path", x.Target.Path).Int("status", status).Msg(reason)
 	writeFailure(&x.Response, status, verdict.NotRun, reason)
 }
--- a/node/proxy/ingress/target_test.go
+++ b/node/proxy/ingress/target_test.go
@@ -127,3 +127,17 @@
 		So(got, ShouldResemble, sent)
 	})
 }
+
+// Guards against a field behind the body that is taken for a header which the server doesn't get.
+func TestTrailerFieldsAreNoHeaders(t *testing.T) {
+	Convey("A trailer sets neither the deadline nor the trace of its request", t, func() {
+		f := newFleet(t, replyOK)
+		defer f.close()
+		f.ingress.Headers.Deadline = "X-Deadline-Ms"
+		status, _ := f.rawStatus("POST / HTTP/1.1\r\nHost: programma.example\r\nTrailer: X-Deadline-Ms\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"1\r\na\r\n0\r\nX-Deadline-Ms: 0\r\nTraceparent: 00-1-2-01\r\n\r\n")
+		So(status, ShouldEqual, http.StatusOK)
+		So(f.peers["vm0"].firstCall().GetTraceparent(), ShouldBeEmpty)
+		So(f.peers["vm0"].firstCall().GetHeaders(), ShouldBeEmpty)
+	})
+}
