--- a/core/mesh/snapshot.go
+++ b/core/mesh/snapshot.go
@@ -248,6 +248,13 @@
 	return nil
 }
 
+// HasHost reports whether a service or a route names the host. It ignores its case and a port
+// in it.
+func (s *Snapshot) HasHost(host string) bool {
+	_, found := s.hosts[hostName(host)]
+	return found
+}
+
 // allowsMethod reports whether the route accepts requests with the method.
 func (r *Route) allowsMethod(method string) bool {
 	return r.Methods[0] == AnyMethod || slices.Contains(r.Methods, method)
@@ -260,8 +267,9 @@
 
 // hostName returns the host name of an HTTP authority in lower case, without the port.
 func hostName(authority string) string {
-	name, _, _ := strings.Cut(authority, ":")
-	return strings.ToLower(name)
+	end := strings.IndexByte(authority, ']') + 1 // behind the colons of an IPv6 address
+	name, _, _ := strings.Cut(authority[end:], ":")
+	return strings.ToLower(authority[:end] + name)
 }
 
 // hasPathPrefix reports whether path starts with prefix at a segment boundary.
--- a/node/proxy/ingress/headers.go
+++ b/node/proxy/ingress/headers.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 	"time"
@@ -11,11 +12,12 @@
 )
 
 // forwardedHeaders returns the headers of a caller's request that are forwarded: all but
-// hop-by-hop headers and those that only nodes may set.
+// hop-by-hop headers and those that only nodes may set. Values are as sent; h.All would rebuild
+// cookies.
 func forwardedHeaders(h *fasthttp.RequestHeader) []*peerpb.Header {
-	connection := string(h.Peek("Connection"))
+	connection := string(bytes.Join(h.PeekAll(fasthttp.HeaderConnection), []byte(",")))
 	out := make([]*peerpb.Header, 0, h.Len())
-	for k, v := range h.All() {
+	for k, v := range h.AllInOrder() {
 		name := string(k)
 		if proxy.EndToEnd(name) && !listsHeader(connection, name) {
 			out = append(out, &peerpb.Header{Name: name, Value: string(v)})
@@ -24,6 +26,20 @@
 	return out
 }
 
+// header returns the value of a header of a caller's request, whose name is in canonical form.
+// Unlike h.Peek it leaves out fields behind the body, which the backend server doesn't get.
+func header(h *fasthttp.RequestHeader, name string) []byte {
+	if len(h.PeekTrailerKeys()) == 0 {
+		return h.Peek(name)
+	}
+	for k, v := range h.All() {
+		if string(k) == name {
+			return v
+		}
+	}
+	return nil
+}
+
 // dropNodeHeaders removes the headers that the server's node sets itself, so that a caller
 // cannot forge them.
 func (g *Ingress) dropNodeHeaders(m *peerpb.Call) {
@@ -51,7 +67,7 @@
 	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
 }
 
-// listsHeader reports whether the value of a Connection header lists the named header.
+// listsHeader reports whether the value of the Connection headers lists the named header.
 func listsHeader(connection, name string) bool {
 	if connection == "" {
 		return false
--- a/node/proxy/ingress/ingress_test.go
+++ b/node/proxy/ingress/ingress_test.go
@@ -311,6 +311,20 @@
 	})
 }
 
+// Guards against a header that a second Connection header names as hop-by-hop and that is forwarded all the same.
+func TestEachConnectionHeaderCounts(t *testing.T) {
+	Convey("Headers named by any Connection header are not forwarded", t, func() {
+		f := newFleet(t, replyOK)
+		defer f.close()
+		f.status("GET", "/", "", "X-One: 1", "Connection: keep-alive, X-One", "x-two: 2", "Connection: x-two, close", "X-Three: 3")
+		names := make(map[string]bool)
+		for _, h := range f.peers["vm0"].firstCall().GetHeaders() {
+			names[h.GetName()] = true
+		}
+		So(names, ShouldResemble, map[string]bool{"X-Three": true})
+	})
+}
+
 // Guards against connections that stay open for callers that send a request too slowly.
 func TestSlowSenderIsCutOff(t *testing.T) {
 	Convey("A caller that never completes its request gets a 4xx status or a closed connection", t, func() {
@@ -350,6 +364,14 @@
 		{"oversized head", "GET / HTTP/1.1\r\nHost: programma.example\r\nX-Big: " + strings.Repeat("x", 64<<10) + "\r\n\r\n"},
 		{"negative length", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: -1\r\n\r\n"},
 		{"huge length", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 99999999999\r\n\r\n"},
+		{"two hosts", "GET / HTTP/1.1\r\nHost: programma.example\r\nHost: programma.example\r\n\r\n"},
+		{"no host", "GET / HTTP/1.1\r\n\r\n"},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na"},
+		{"unknown encoding", "POST / HTTP/1.1\r\nHost: programma.example\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n"},
+		{"space before colon", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length : 1\r\n\r\na"},
+		{"folded first header", "GET / HTTP/1.1\r\n Host: programma.example\r\n\r\n"},
+		{"space in target", "GET /a b HTTP/1.1\r\nHost: programma.example\r\n\r\n"},
+		{"method in lower case", "get / HTTP/1.1\r\nHost: programma.example\r\n\r\n"},
 		{"bad chunk", "POST / HTTP/1.1\r\nHost: programma.example\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\n"},
 		{"length and chunked", "POST / HTTP/1.1\r\nHost: programma.example\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: programma.example\r\n\r\n"},
 	}
--- a/node/proxy/ingress/request.go
+++ b/node/proxy/ingress/request.go
@@ -28,8 +28,7 @@
 	if r.snapshot == nil {
 		return r
 	}
-	uri := x.Request.URI()
-	r.match = r.snapshot.MatchRoute(string(uri.Host()), string(x.Request.Header.Method()), string(uri.Path()))
+	r.match = r.snapshot.MatchRoute(x.Target.Host, string(x.Request.Header.Method()), x.Target.Path)
 	if r.match != nil {
 		r.deadline = x.Arrived().Add(g.requestTimeout(x, r.match))
 	}
@@ -43,7 +42,7 @@
 	if g.Headers.Deadline == "" {
 		return limit
 	}
-	ms, err := strconv.ParseInt(string(x.Request.Header.Peek(g.Headers.Deadline)), 10, 32)
+	ms, err := strconv.ParseInt(string(header(&x.Request.Header, g.Headers.Deadline)), 10, 32)
 	if err != nil {
 		return limit
 	}
