--- a/node/proxy/ingress/fake_test.go
+++ b/node/proxy/ingress/fake_test.go
@@ -293,7 +293,7 @@
 
 // testSnapshot returns a release with the service programma and, besides its usual routes, the
 // given ones. Its sequence grows with their number.
-func testSnapshot(t testing.TB, more ...mesh.Route) *mesh.Snapshot {
+func testSnapshot(t testing.TB, more ...*mesh.Route) *mesh.Snapshot {
 	svc := mesh.Service{
 		Name:      "programma",
 		Hosts:     []string{"programma.example"},
--- a/node/proxy/ingress/target_property_test.go
+++ b/node/proxy/ingress/target_property_test.go
@@ -33,9 +33,9 @@
 func TestOneReadingOfTargets(t *testing.T) {
 	f := newFleet(t, replyOK)
 	defer f.close()
-	var routes []mesh.Route
+	var routes []*mesh.Route
 	for i, prefix := range propertyPrefixes {
-		routes = append(routes, mesh.Route{
+		routes = append(routes, &mesh.Route{
 			Name: prefix, Methods: []string{http.MethodPut}, Prefix: prefix, Service: "programma", Resource: "sessions",
 			Idempotent: i%2 == 1, Retry: mesh.Retry{Attempts: 2}, Deadline: 20_000,
 		})
--- a/node/proxy/ingress/target_test.go
+++ b/node/proxy/ingress/target_test.go
@@ -36,7 +36,7 @@
 }
 
 // readRoute may be repeated, unlike other requests with POST.
-var readRoute = mesh.Route{
+var readRoute = &mesh.Route{
 	Name: "look-up", Methods: []string{"POST"}, Prefix: "/read/", Service: "programma", Resource: "sessions",
 	Idempotent: true, Retry: mesh.Retry{Attempts: 3}, Deadline: 20_000,
 }
