Take a configuration whose services are above the chunk limit

Cause: mesh.BuildPublished encodes each service of a configuration from the key-value store as a chunk of the project's own release format and checked it with the limits of that format's store: 1 MiB a chunk, 4096 chunks. The encoding of a route takes about 2.7 times the bytes of its row, and nothing of it is stored or sent. So a valid configuration from about 400 kB on was refused by every node, and so was each later one, as it holds the same routes.

Now BuildPublished uses Manifest.EncodeLocal, which checks the form only. What bounds such a release is the value that it was decoded from. The limits hold as before for what is stored: Manifest.Encode, deltas, chunks of the project's own service.

--- a/core/mesh/source.go
+++ b/core/mesh/source.go
@@ -94,7 +94,7 @@
 	for _, name := range slices.Sorted(maps.Keys(built)) {
 		m.Chunks = append(m.Chunks, built[name].ref)
 	}
-	encoded, err := m.Encode()
+	encoded, err := m.EncodeLocal()
 	if err != nil {
 		return nil, fmt.Errorf("published release: %w", err)
 	}
--- a/core/release/delta.go
+++ b/core/release/delta.go
@@ -55,7 +55,10 @@
 	case !slices.IsSorted(d.Removed):
 		return errors.New("manifest delta: removed chunks are not in ascending order of name")
 	}
-	return validateChunkRefs(d.Changed)
+	if err := validateChunkSizes(d.Changed); err != nil {
+		return err
+	}
+	return validateChunkOrder(d.Changed)
 }
 
 // Apply rebuilds the approved manifest of d.Version from base. It returns an error if
--- a/core/release/manifest.go
+++ b/core/release/manifest.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// MaxValueBytes is the maximum size of a value in the platform's key-value service.
+	// MaxValueBytes is the maximum size of a value in the platform's key-value service, and so
+	// of a chunk that is stored there.
 	MaxValueBytes = 1 << 20
 	// MaxChunks is the maximum number of chunks of one release.
 	MaxChunks = 4096
@@ -65,9 +66,29 @@
 	return json.Marshal(m)
 }
 
+// EncodeLocal is like Encode for a manifest whose chunks are neither stored nor sent as such. Their
+// count and sizes are bounded by the value that the release was decoded from.
+func (m *Manifest) EncodeLocal() ([]byte, error) {
+	if err := m.validateForm(); err != nil {
+		return nil, err
+	}
+	return json.Marshal(m)
+}
+
 // Validate checks the format, the sequence number, and the count, sizes and order of
 // the chunks.
 func (m *Manifest) Validate() error {
+	if err := m.validateForm(); err != nil {
+		return err
+	}
+	if len(m.Chunks) > MaxChunks {
+		return fmt.Errorf("manifest: %d chunks, expected at most %d", len(m.Chunks), MaxChunks)
+	}
+	return validateChunkSizes(m.Chunks)
+}
+
+// validateForm checks all but the limits of count and size.
+func (m *Manifest) validateForm() error {
 	switch {
 	case m.Format != FormatVersion:
 		return fmt.Errorf("manifest: format %d, expected %d", m.Format, FormatVersion)
@@ -75,20 +96,24 @@
 		return errors.New("manifest: sequence is 0, expected 1 or more")
 	case len(m.Chunks) == 0:
 		return errors.New("manifest: no chunks, expected at least one")
-	case len(m.Chunks) > MaxChunks:
-		return fmt.Errorf("manifest: %d chunks, expected at most %d", len(m.Chunks), MaxChunks)
 	}
-	return validateChunkRefs(m.Chunks)
+	return validateChunkOrder(m.Chunks)
 }
 
-func validateChunkRefs(refs []ChunkRef) error {
+func validateChunkSizes(refs []ChunkRef) error {
+	for _, c := range refs {
+		if c.Size <= 0 || c.Size > MaxValueBytes {
+			return fmt.Errorf("manifest: chunk %q has %d bytes, expected 1 to %d", c.Name, c.Size, MaxValueBytes)
+		}
+	}
+	return nil
+}
+
+func validateChunkOrder(refs []ChunkRef) error {
 	for i, c := range refs {
 		if c.Name == "" {
 			return fmt.Errorf("manifest: chunk %d has no name", i)
 		}
-		if c.Size <= 0 || c.Size > MaxValueBytes {
-			return fmt.Errorf("manifest: chunk %q has %d bytes, expected 1 to %d", c.Name, c.Size, MaxValueBytes)
-		}
 		if i > 0 && refs[i-1].Name >= c.Name {
 			return fmt.Errorf("manifest: chunk %q is not in ascending order of name", c.Name)
 		}
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -69,6 +69,35 @@
 	})
 }
 
+// TestLimitsOfStoredChunks guards against limits of stored chunks that refuse a release whose chunks
+// are not stored.
+func TestLimitsOfStoredChunks(t *testing.T) {
+	sized := func(bytes int) *Manifest {
+		m := newManifest(1, map[string]int{"a": 1})
+		m.Chunks[0].Size = bytes
+		return m
+	}
+	counted := func(chunks int) *Manifest {
+		salts := make(map[string]int, chunks)
+		for i := range chunks {
+			salts[fmt.Sprint("s", i)] = 1
+		}
+		return newManifest(1, salts)
+	}
+	Convey("Encode takes chunks up to the limits, and EncodeLocal those above them as well", t, func() {
+		for _, m := range []*Manifest{sized(MaxValueBytes), counted(MaxChunks)} {
+			_, err := m.Encode()
+			So(err, ShouldBeNil)
+		}
+		for _, m := range []*Manifest{sized(MaxValueBytes + 1), counted(MaxChunks + 1)} {
+			_, err := m.Encode()
+			So(err, ShouldNotBeNil)
+			_, err = m.EncodeLocal()
+			So(err, ShouldBeNil)
+		}
+	})
+}
+
 // TestDeltaRebuildsManifest guards against a delta that rebuilds other bytes than the
 // target's manifest, which would invalidate the approvals.
 func TestDeltaRebuildsManifest(t *testing.T) {
