--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -212,6 +212,9 @@
 func TestChangesSince(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := NewReplica(DefaultConfig(), textDecoder{})
+		// store receives each change; r misses some and then reads all items.
+		store := NewReplica(DefaultConfig(), textDecoder{})
+		missing := false
 		copies := map[uint64]*Replica{}
 		revision := uint64(0)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -221,17 +224,29 @@
 			switch rapid.IntRange(0, 9).Draw(t, "kind") {
 			case 0, 1, 2:
 				c.Removed, c.Value = true, nil
-				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+				store.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
 			case 3:
-				// All items are read again: what was removed in between is not known.
-				r.Replace(start, []Item{c.Item}, Position{Revision: revision})
+				// All other items are removed.
+				store.Replace(start, []Item{c.Item}, Position{Revision: revision})
+				missing = true
 			default:
+				store.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+			}
+			missing = missing || rapid.IntRange(0, 4).Draw(t, "missed") == 0
+			switch {
+			case !missing:
 				r.Apply(start, Changes{Changes: []Change{c}, Revision: revision})
+			case rapid.Bool().Draw(t, "read"):
+				r.Replace(start, store.Items(), Position{Revision: revision})
+				missing = false
 			}
 			held := NewReplica(DefaultConfig(), textDecoder{})
-			held.Replace(start, r.Items(), Position{Revision: revision})
+			held.Replace(start, store.Items(), Position{Revision: revision})
 			copies[revision] = held
 		}
+		if missing {
+			r.Replace(start, store.Items(), Position{Revision: revision})
+		}
 		for after, held := range copies {
 			if r.Knows(Position{Revision: after}) {
 				held.Apply(start, Changes{Changes: r.Since(Position{Revision: after}), Revision: r.Position().Revision})
--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -24,13 +24,13 @@
 	if r == nil {
 		return false
 	}
-	f.sendCopies(st, source.Position{Era: r.GetEra(), Revision: r.GetAfter()}, r.GetFollow())
+	f.sendCopies(st, source.Position{Era: r.GetEra(), Revision: r.GetAfter()}, r.GetFollow(), f.boot())
 	return true
 }
 
 // sendCopies sends what is newer than a position, and if follow is set, each further change
-// and confirmation until the stream ends.
-func (f *Follower) sendCopies(st *session.Stream, after source.Position, follow bool) {
+// and confirmation until the stream ends. asked is when the request was received.
+func (f *Follower) sendCopies(st *session.Stream, after source.Position, follow bool, asked time.Duration) {
 	ended := make(chan struct{})
 	if follow {
 		var watcher conc.WaitGroup
@@ -42,17 +42,21 @@
 		})
 	}
 	for first := true; ; first = false {
-		// Only of what this stream has sent is it known that the node holds it.
-		c, renewed, err := f.copySince(after, !first)
+		c, renewed, err := f.copySince(after)
 		if err != nil {
 			f.log.Error().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be encoded")
 			return
 		}
+		if first {
+			c.HeldUs = c.GetSentUs() - asked.Microseconds()
+		}
 		st.SetWriteDeadline(time.Now().Add(sendTimeout))
+		began := f.boot()
 		if err := st.Send(c); err != nil {
 			f.log.Debug().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be sent")
 			return
 		}
+		counters.countSent(c, f.boot()-began)
 		if !follow {
 			return
 		}
@@ -68,9 +72,9 @@
 }
 
 // copySince returns the changes after a position, or the whole copy if they are not known, and
-// a channel that is closed when the copy has changed or was confirmed. With patch, a changed
-// release may be sent as a patch of the one at that position.
-func (f *Follower) copySince(after source.Position, patch bool) (*peerpb.SourceCopy, <-chan struct{}, error) {
+// a channel that is closed when the copy has changed or was confirmed. A changed release may be sent
+// as a patch of the one at that position; a node that holds another one asks for the whole copy.
+func (f *Follower) copySince(after source.Position) (*peerpb.SourceCopy, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, at := f.boot(), f.replica.Position()
@@ -84,7 +88,7 @@
 	}
 	if at.Compare(after) > 0 {
 		var err error
-		if c.After, c.Items, err = f.encodeSinceLocked(after, patch); err != nil {
+		if c.After, c.Items, err = f.encodeSinceLocked(after); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -93,21 +97,19 @@
 
 // encodeSinceLocked returns the encoded changes after a position of the present era, of which base
 // is the revision, or the whole copy with base 0. The caller holds mu.
-func (f *Follower) encodeSinceLocked(after source.Position, patch bool) (base uint64, data []byte, err error) {
+func (f *Follower) encodeSinceLocked(after source.Position) (base uint64, data []byte, err error) {
 	if !f.replica.Knows(after) {
-		after, patch = source.Position{}, false
+		after = source.Position{}
 	}
-	key := encodingKey{after: after, at: f.replica.Position(), patched: patch}
+	key := encodingKey{after: after, at: f.replica.Position()}
 	if data := f.encoded.find(key); data != nil {
 		return after.Revision, data, nil
 	}
-	var old source.Item
-	if patch {
-		old = f.releases.at(after)
-	}
-	if data, err = encodeChanges(f.replica.Since(after), old); err != nil {
+	began := f.boot()
+	if data, err = encodeChanges(f.replica.Since(after), f.releases.at(after)); err != nil {
 		return 0, nil, err
 	}
+	counters.encodeMicros.Add((f.boot() - began).Microseconds())
 	f.encoded.add(key, data)
 	return after.Revision, data, nil
 }
@@ -119,7 +121,7 @@
 	if c.GetAfter() > 0 && (after.Era != held.Era || after.Revision > held.Revision) {
 		return errGap
 	}
-	changes, err := decodeChanges(c.GetItems(), f.replica.Value)
+	changes, err := decodeChanges(c.GetItems(), f.baseLocked)
 	if err != nil {
 		return err
 	}
@@ -128,7 +130,7 @@
 		f.replica.ExtendGrace(now.Add(grace))
 	}
 	if c.GetAfter() > 0 {
-		f.encoded.add(encodingKey{after: after, at: at, patched: true}, c.GetItems())
+		f.encoded.add(encodingKey{after: after, at: at}, c.GetItems())
 		f.replica.Apply(now, source.Changes{Changes: changes, Era: at.Era, Revision: at.Revision})
 		return nil
 	}
@@ -140,6 +142,16 @@
 	return nil
 }
 
+// baseLocked returns the value of a key as of a position: that of the replica, or of one of the
+// latest releases. The caller holds mu.
+func (f *Follower) baseLocked(key string, at source.Position) ([]byte, bool) {
+	if value, found := f.replica.Value(key, at); found {
+		return value, true
+	}
+	item := f.releases.at(at)
+	return item.Value, item.Key == key && item.Position() == at
+}
+
 // encodedChanges keeps the latest encoded sets of changes: the nodes that follow this one mostly
 // need the same. It is not safe for concurrent use.
 type encodedChanges struct {
@@ -147,10 +159,8 @@
 }
 
 // encodingKey identifies the encoding of the changes after one position up to another one.
-// patched is set if a value may be a patch.
 type encodingKey struct {
 	after, at source.Position
-	patched   bool
 }
 
 type encodedSet struct {
@@ -183,15 +193,16 @@
 	items []source.Item
 }
 
-// add adds the release item that the node holds now.
-func (h *releaseHistory) add(item source.Item) {
+// add adds the release item that the node holds now, and reports whether it was not held before.
+func (h *releaseHistory) add(item source.Item) bool {
 	if n := len(h.items); n > 0 && h.items[n-1].Position().Compare(item.Position()) >= 0 {
-		return
+		return false
 	}
 	h.items = append(h.items, item)
 	if len(h.items) > keptReleases {
 		h.items = slices.Delete(h.items, 0, len(h.items)-keptReleases)
 	}
+	return true
 }
 
 // at returns the release item that a copy as of a position holds, or an empty item if it is not
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,9 @@
 	watchLimiter *rate.Limiter
 	// failing is set while the store does not respond to this node.
 	failing atomic.Bool
+	// inSeries is set while releases follow each other so quickly that reading each of them takes
+	// too long.
+	inSeries atomic.Bool
 	// calls tracks the open calls to the store, which may outlive Run.
 	calls conc.WaitGroup
 	// stopped is closed by Stop.
@@ -54,15 +58,22 @@
 	// encoded and releases serve to encode changes for other nodes.
 	encoded  encodedChanges
 	releases releaseHistory
+	// arrival is how the release item of the replica came.
+	arrival arrival
+	// pending is set while the replica holds a release item that was not read yet.
+	pending bool
 
-	// applyMu guards the fields below and is locked before mu.
-	applyMu sync.Mutex
-	// snapshot is the active release. releaseAt is the position of the last release item that
-	// was read; an invalid one leaves snapshot unchanged.
-	snapshot  *mesh.Snapshot
-	releaseAt source.Position
-	// listChanges is the change count of the VM list that was applied last.
+	// listMu guards listChanges, the change count of the VM list that was applied last. It is
+	// locked before mu.
+	listMu      sync.Mutex
 	listChanges uint64
+
+	// releaseChanged receives a value when the replica has another release item.
+	releaseChanged chan struct{}
+	// builder and releaseAt belong to buildReleases. releaseAt is the position of the last release
+	// item that was read; an invalid one leaves the active release unchanged.
+	builder   *mesh.Builder
+	releaseAt source.Position
 }
 
 // New returns a follower that is idle until Run is called. boot is a clock that also counts
@@ -85,8 +96,11 @@
 		replica:      source.NewReplica(cfg.Replica, d),
 		machine:      spread.NewMachine(limits, id.VM, id.Domain, boot()),
 		decoder:      d,
-		decided:      make(chan struct{}),
-		renewed:      make(chan struct{}),
+		builder:      mesh.NewBuilder(runtime.Gosched),
+
+		releaseChanged: make(chan struct{}, 1),
+		decided:        make(chan struct{}),
+		renewed:        make(chan struct{}),
 	}
 }
 
@@ -114,6 +128,18 @@
 	return s
 }
 
+// Current reports whether each release that was confirmed ApplyWithin ago or earlier is active,
+// unless it was invalid.
+func (f *Follower) Current() bool {
+	within := f.cfg.ApplyWithin
+	if f.cfg.Reading == ReadByAll {
+		within += f.cfg.WatchWait
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.pending && f.machine.Age(f.boot()) <= within
+}
+
 // Stop ends Run and the streams to the nodes that follow this one, which then turn to others.
 // What the node holds stays in force. It may be called repeatedly and from any goroutine.
 func (f *Follower) Stop() { f.stopOnce.Do(func() { close(f.stopped) }) }
@@ -135,6 +161,7 @@
 	tasks.Go(func() { f.control(ctx) })
 	tasks.Go(func() { f.askPeers(ctx) })
 	tasks.Go(func() { f.expire(ctx) })
+	tasks.Go(func() { f.buildReleases(ctx) })
 	f.readStore(ctx)
 }
 
@@ -238,23 +265,24 @@
 // renewLocked tells the nodes that follow this one that the copy changed or was confirmed. The
 // caller holds mu.
 func (f *Follower) renewLocked() {
-	if item, found := f.replica.Release(); found {
-		f.releases.add(item)
+	if item, found := f.replica.Release(); found && f.releases.add(item) {
+		f.pending = true
+		select {
+		case f.releaseChanged <- struct{}{}:
+		default:
+		}
 	}
 	close(f.renewed)
 	f.renewed = make(chan struct{})
 	f.signalSteer()
 }
 
-// applyReplica applies the replica's release and VM list if they changed. It does not hold mu
-// while it builds them, so that changes are passed on meanwhile.
-func (f *Follower) applyReplica() {
-	f.applyMu.Lock()
-	defer f.applyMu.Unlock()
+// applyList applies the replica's VM list if it changed. It never waits for a release to be built.
+func (f *Follower) applyList() {
+	f.listMu.Lock()
+	defer f.listMu.Unlock()
 	f.mu.Lock()
-	problems := f.replica.DecodeErrors()
-	item, found := f.replica.Release()
-	changes := f.replica.ListChanges()
+	problems, changes := f.replica.DecodeErrors(), f.replica.ListChanges()
 	var vms []vmlist.VM
 	if changes != f.listChanges {
 		vms = f.replica.VMs()
@@ -265,25 +293,54 @@
 	for _, problem := range problems {
 		f.log.Warn().Err(problem).Str("event", "entry-unreadable").Msg("entry of a server could not be decoded; ignoring it")
 	}
-	// The list first: building a large release must not delay that a server is leaving.
 	if changes != f.listChanges {
 		f.listChanges = changes
 		f.command.ApplyVMList(&vmlist.List{Revision: changes, VMs: vms})
 	}
+}
+
+// buildReleases brings the newest release item of the replica in force until ctx ends. Those that
+// come while one is built are skipped but for the last.
+func (f *Follower) buildReleases(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.releaseChanged:
+			f.buildNewest()
+		}
+	}
+}
+
+// buildNewest applies the release item of the replica unless it was read already.
+func (f *Follower) buildNewest() {
+	f.mu.Lock()
+	item, found := f.replica.Release()
+	came := f.arrival
+	f.mu.Unlock()
 	if found && item.Position() != f.releaseAt {
-		f.applyRelease(item)
+		f.applyRelease(item, came)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if newest, _ := f.replica.Release(); newest.Position() == item.Position() {
+		f.pending = false
 	}
 }
 
-// applyRelease applies a release item if it is valid. The caller holds applyMu.
-func (f *Follower) applyRelease(item source.Item) {
+// applyRelease applies a release item if it is valid.
+func (f *Follower) applyRelease(item source.Item, came arrival) {
+	s := &stages{arrival: came, began: f.usage()}
 	f.releaseAt = item.Position()
 	p, err := f.decoder.Release(item.Value)
+	s.decoded = f.usage()
 	if err == nil {
 		var snap *mesh.Snapshot
-		if snap, err = mesh.BuildPublished(f.snapshot, p); err == nil {
-			f.snapshot = snap
+		if snap, err = f.builder.Build(p); err == nil {
+			s.built = f.usage()
 			f.command.ApplyRelease(snap)
+			s.applied = f.usage()
+			f.reportInForce(snap.Version.Sequence, s)
 			return
 		}
 	}
@@ -302,7 +359,7 @@
 			f.mu.Lock()
 			f.replica.Expire(now)
 			f.mu.Unlock()
-			f.applyReplica()
+			f.applyList()
 		}
 	}
 }
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -73,7 +73,7 @@
 			f.peers.Retire(vm.ID, ses)
 		}
 	}()
-	delays := messageDelays{asked: asked}
+	delays := messageDelays{asked: asked, via: viaParent, from: vm.ID}
 	for {
 		var c peerpb.SourceCopy
 		if err := st.Recv(&c); err != nil {
@@ -92,20 +92,23 @@
 }
 
 // messageDelays bounds how long the messages of a stream were under way, although the clocks of
-// the two VMs have nothing in common. The first message was not sent before it was asked for;
-// later ones are compared with the fastest ones.
+// the two VMs have nothing in common. The request was not received before it was sent; messages
+// are compared with it and with the fastest ones.
 type messageDelays struct {
 	// asked is when the stream was opened, by the local clock.
 	asked     time.Duration
 	started   bool
 	estimator transit.Estimator
+	// via and from name the sender in the log.
+	via, from string
 }
 
-// delay returns an upper bound of the delay of a message, but for a delay that lasts. sent is by the clock of the sender.
-func (d *messageDelays) delay(sent, received time.Duration) time.Duration {
+// delay returns an upper bound of the delay of a message, but for a delay that lasts. sent is by the
+// clock of the sender, which had held the request for a time if this is its first message.
+func (d *messageDelays) delay(sent, held, received time.Duration) time.Duration {
 	if !d.started {
 		d.started = true
-		d.estimator.Excess(sent, d.asked)
+		d.estimator.Excess(sent-held, d.asked)
 	}
 	return d.estimator.Excess(sent, received)
 }
@@ -134,6 +137,7 @@
 
 // askRound requests a copy from PeersPerRound random peers, one after the other.
 func (f *Follower) askRound(ctx context.Context) {
+	counters.askRounds.Add(1)
 	candidates := f.peers.Candidates()
 	rand.Shuffle(len(candidates), func(i, j int) {
 		candidates[i], candidates[j] = candidates[j], candidates[i]
@@ -149,30 +153,47 @@
 func (f *Follower) askPeer(ctx context.Context, addr netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	ses, err := f.peers.Get(ctx, addr.Addr().String(), addr)
+	vm := addr.Addr().String()
+	ses, err := f.peers.Get(ctx, vm, addr)
 	if err != nil {
 		return err
 	}
-	before, asked := f.position(), f.boot()
-	var c peerpb.SourceCopy
-	if err := ses.Exchange(ctx, copyRequest(before, false), &c); err != nil {
-		return err
+	before := f.position()
+	at, err := f.askCopy(ctx, vm, ses, before)
+	if errors.Is(err, errNoBase) {
+		at, err = f.askCopy(ctx, vm, ses, source.Position{})
 	}
-	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked})
 	if err != nil {
 		return err
 	}
+	if at.Compare(before) > 0 {
+		f.log.Info().Str("event", "peer-copy-taken").Stringer("peer", addr).
+			Uint64("from_revision", before.Revision).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("copy of the store applied from a peer")
+	}
+	return nil
+}
+
+// askCopy requests what is newer than a position over a session to a VM and applies it. It returns
+// the position of the copy.
+func (f *Follower) askCopy(ctx context.Context, vm string, ses *session.Session, after source.Position) (source.Position, error) {
+	asked := f.boot()
+	var c peerpb.SourceCopy
+	if err := ses.Exchange(ctx, copyRequest(after, false), &c); err != nil {
+		return source.Position{}, err
+	}
+	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: vm})
+	if err != nil {
+		return source.Position{}, err
+	}
 	f.mu.Lock()
 	f.machine.Copied(asOf)
 	f.mu.Unlock()
 	f.signalSteer()
-	if positionOf(&c).Compare(before) > 0 {
-		f.log.Info().Str("event", "peer-copy-taken").Stringer("peer", addr).
-			Uint64("from_revision", before.Revision).Uint64("era", c.GetEra()).Uint64("revision", c.GetRevision()).Msg("copy of the store applied from a peer")
-	}
-	return nil
+	return positionOf(&c), nil
 }
 
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 var (
 	errEmptyPeer = errors.New("the peer holds no copy yet")
 	errGap       = errors.New("the peer's changes begin after the local position")
@@ -186,10 +207,13 @@
 	if c.GetRevision() == 0 {
 		return 0, errEmptyPeer
 	}
-	age := time.Duration(c.GetAgeUs())*time.Microsecond + delays.delay(time.Duration(c.GetSentUs())*time.Microsecond, received)
-	changed, err := f.mergeCopy(c, received)
+	transit := delays.delay(microseconds(c.GetSentUs()), microseconds(c.GetHeldUs()), received)
+	age := microseconds(c.GetAgeUs()) + transit
+	came := arrival{via: delays.via, from: delays.from, whole: c.GetAfter() == 0, bytes: len(c.GetItems()), transit: transit}
+	came.received.at = received
+	changed, err := f.mergeCopy(c, came)
 	if changed {
-		f.applyReplica()
+		f.applyList()
 	}
 	return received - age, err
 }
@@ -197,16 +221,22 @@
 // mergeCopy merges a copy or the changes of a peer into the replica, and reports whether it
 // held any items. What a peer that is behind says of the age of its copy holds for this one too,
 // which includes it.
-func (f *Follower) mergeCopy(c *peerpb.SourceCopy, received time.Duration) (changed bool, err error) {
+func (f *Follower) mergeCopy(c *peerpb.SourceCopy, came arrival) (changed bool, err error) {
+	if came.bytes > 0 {
+		counters.countTaken(c)
+		came.received.cpu, came.gc = processorTime(), readGC()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if positionOf(c).Compare(f.replica.Position()) < 0 {
 		return false, nil
 	}
 	if len(c.GetItems()) > 0 {
-		if err := f.applyItemsLocked(c, received); err != nil {
+		came.locked = f.usage()
+		if err := f.applyItemsLocked(c, came.received.at); err != nil {
 			return false, err
 		}
+		f.recordArrivalLocked(came)
 	}
 	if positionOf(c).Compare(f.replica.Position()) > 0 {
 		return false, errBehind
--- a/node/follow/spread_test.go
+++ b/node/follow/spread_test.go
@@ -92,10 +92,10 @@
 		for _, offset := range []time.Duration{-time.Hour, 0, time.Hour} {
 			d := messageDelays{asked: 10 * time.Second}
 			sent := 10*time.Second + time.Millisecond + offset
-			So(d.delay(sent, 12*time.Second), ShouldEqual, 2*time.Second)
+			So(d.delay(sent, 0, 12*time.Second), ShouldEqual, 2*time.Second)
 			// Three seconds later, two milliseconds under way: 1 ms of the request is not known apart.
-			So(d.delay(sent+3*time.Second, 13*time.Second+3*time.Millisecond), ShouldEqual, 3*time.Millisecond)
-			So(d.delay(sent+4*time.Second, 15*time.Second), ShouldEqual, time.Second)
+			So(d.delay(sent+3*time.Second, 0, 13*time.Second+3*time.Millisecond), ShouldEqual, 3*time.Millisecond)
+			So(d.delay(sent+4*time.Second, 0, 15*time.Second), ShouldEqual, time.Second)
 		}
 	})
 }
@@ -111,7 +111,7 @@
 		cmd := &command.Commander{State: state.New(state.Identity{}), Log: zerolog.Nop(), Now: time.Now}
 		f := New(DefaultConfig(), newFakeStore(), otherDecoder{}, noPeers{}, cmd, bootClock(), zerolog.Nop())
 		f.replica.Replace(time.Now(), []source.Item{{Key: "a", Revision: 1}, {Key: "not UTF-8: \xff", Revision: 2}}, source.Position{Revision: 2})
-		_, _, err := f.copySince(source.Position{}, false)
+		_, _, err := f.copySince(source.Position{})
 		So(err, ShouldNotBeNil)
 	})
 }
