Show a server that left and stays listed after a skipped removal

A node may hold entries that are newer than its position: from later pages of a read, and from the watch of the servers after a read of the release. The node that it takes changes from may have skipped the removal of such an entry by a read of all items. Since it still says that it knows all changes after that position, and sends no removal; the whole copy of before removed the entry. Nothing removes it later, and requests go to a server that is gone.

--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -280,3 +280,23 @@
 		So(changes[1].Removed, ShouldBeTrue)
 	})
 }
+
+// Guards against a server that left and stays listed: a node may hold entries that are newer than
+// its position, and the node that it takes changes from may have skipped their removal.
+func TestRemovalThatWasSkipped(t *testing.T) {
+	Convey("An entry after a replica's position is removed by a copy of a replica that never held it", t, func() {
+		now := time.Now()
+		parent, child := NewReplica(DefaultConfig(), textDecoder{}), NewReplica(DefaultConfig(), textDecoder{})
+		parent.Replace(now, nil, Position{Revision: 10})
+		child.Replace(now, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 12}}, Position{Revision: 10})
+		parent.Replace(now, nil, Position{Revision: 20})
+		after := child.Position()
+		if parent.Knows(after) {
+			child.Apply(now, Changes{Changes: parent.Since(after), Revision: parent.Position().Revision})
+		} else {
+			child.Replace(now, parent.Items(), parent.Position())
+		}
+		So(child.Position().Revision, ShouldEqual, 20)
+		So(ids(child.VMs()), ShouldBeEmpty)
+	})
+}
