Show a patch of a release that the node never held

Nodes read only the newest release of a series, so two nodes hold different ones. A node that changes its parent asks with its position, and the new parent patches the release that it held itself at that position. If the other node never had it, it asks for the whole copy, with all servers, while the link is busiest. Both hold an older release that would do; the request does not say so.

--- a/node/follow/patch_test.go
+++ b/node/follow/patch_test.go
@@ -87,3 +87,19 @@
 		So(child.position().Revision, ShouldEqual, 12)
 	})
 }
+
+// Guards against whole copies between nodes that did not receive the same releases of a series:
+// each of them reads only the newest one.
+func TestPatchOfACommonRelease(t *testing.T) {
+	Convey("A node gets a patch of a release that both nodes hold, not of one that it never held", t, func() {
+		parent, child := idleFollower(largeRelease(1, 5)), idleFollower(largeRelease(1, 5))
+		parent.advance(largeRelease(2, 9))
+		child.advance(largeRelease(3, 12))
+		parent.advance(largeRelease(4, 15))
+		c, _, err := parent.copySince(child.position())
+		So(err, ShouldBeNil)
+		_, err = child.applyCopy(c, new(messageDelays))
+		So(err, ShouldBeNil)
+		So(child.position().Revision, ShouldEqual, 15)
+	})
+}
