Show that a series makes nodes ask others although nothing fails

In a series, a node that reads the store confirms its copy once a third of the bound, plus the transfer of the release: 0.83 s + 0.36 s for 300 KB at 9 Mbit/s, more beside requests. Other nodes are asked from an age of 0.45 of the bound (1.125 s), and parents left from 0.5 on. So in each round of a series, nodes ask and change parents, and what they take then makes the links slower.

--- a/node/follow/backlog_test.go
+++ b/node/follow/backlog_test.go
@@ -84,3 +84,33 @@
 		})
 	})
 }
+
+// Guards against nodes that ask others and leave their parents because a node that reads a series of
+// releases confirms its copy less often than that.
+func TestPaceOfASeries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("While a node reads a series of large releases, its copy does not get so old that it asks other nodes", t, func() {
+			store := &slowStore{fakeStore: newFakeStore(), bytesPerSecond: 9e6 / 8, maxWatch: 500 * time.Millisecond}
+			padding := strings.Repeat("x", 300_000)
+			store.put("config", "\x01"+padding)
+			cfg := DefaultConfig()
+			cfg.ApplyWithin = 2500 * time.Millisecond
+			r := startFollowerWith(cfg, store, noPeers{})
+			defer r.stop()
+			time.Sleep(5 * time.Second)
+			asked := 0
+			for step := range 500 {
+				if step%20 == 0 {
+					store.put("config", string(rune(2+step/20))+padding)
+				}
+				time.Sleep(10 * time.Millisecond)
+				r.mu.Lock()
+				if r.decision.AskPeers {
+					asked++
+				}
+				r.mu.Unlock()
+			}
+			So(asked, ShouldEqual, 0)
+		})
+	})
+}
