Ask for all items while holding entries from after the own position

A node may hold entries from after its position: from later pages of a full read, or from the watch of the servers that follows a read of the release. Since a full read keeps what is known of earlier revisions, the node that it takes changes from may have skipped the removal of such an entry and still send changes only.

A node that holds such entries now asks for all items until its position has passed them, and the read of the newest release asks for the servers first, so that it leaves none.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -43,6 +43,8 @@
 	decoder Decoder
 	at      Position
 	items   map[string]Item
+	// newestEntry is the position of the newest entry of a server that was stored.
+	newestEntry Position
 	// release is the newest release item; its key is empty if there is none.
 	release Item
 	servers map[string]ServerEntry
@@ -90,6 +92,16 @@
 // changes; the zero value before the first read.
 func (r *Replica) Position() Position { return r.at }
 
+// CopyFrom returns the position from which the changes of another replica complete this one. It is
+// the zero value, for all items, while this one holds entries of servers from after its own position:
+// the other one may have skipped their removal.
+func (r *Replica) CopyFrom() Position {
+	if r.newestEntry.Compare(r.at) > 0 {
+		return Position{}
+	}
+	return r.at
+}
+
 // Items returns all items, ordered by key.
 func (r *Replica) Items() []Item {
 	keys := slices.Sorted(maps.Keys(r.items))
@@ -210,6 +222,9 @@
 	r.items[item.Key] = item
 	switch {
 	case kind == Server:
+		if item.Position().Compare(r.newestEntry) > 0 {
+			r.newestEntry = item.Position()
+		}
 		r.putServer(item, old, found)
 	case kind == Release && (item.Key == r.release.Key || item.Position().Compare(r.release.Position()) >= 0):
 		r.release = item
--- a/core/source/replica_test.go
+++ b/core/source/replica_test.go
@@ -331,7 +331,7 @@
 		parent.Replace(now, nil, Position{Revision: 10})
 		child.Replace(now, []Item{{Key: "s1", Value: encode("a", 1, false), Revision: 12}}, Position{Revision: 10})
 		parent.Replace(now, nil, Position{Revision: 20})
-		after := child.Position()
+		after := child.CopyFrom()
 		if parent.Knows(after) {
 			child.Apply(now, Changes{Changes: parent.Since(after), Revision: parent.Position().Revision})
 		} else {
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -262,6 +262,13 @@
 	return f.replica.Position()
 }
 
+// copyFrom returns the position from which the changes of another node complete this one's copy.
+func (f *Follower) copyFrom() source.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.CopyFrom()
+}
+
 // renewLocked tells the nodes that follow this one that the copy changed or was confirmed. The
 // caller holds mu.
 func (f *Follower) renewLocked() {
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -36,7 +36,7 @@
 
 // followParent takes changes from the node of a VM until ctx ends or the stream fails.
 func (f *Follower) followParent(ctx context.Context, vm vmlist.VM) {
-	err := f.receiveFrom(ctx, vm, f.position())
+	err := f.receiveFrom(ctx, vm, f.copyFrom())
 	if errors.Is(err, errNoBase) || errors.Is(err, errGap) {
 		// This node's copy has changed on another path: take the whole copy.
 		err = f.receiveFrom(ctx, vm, source.Position{})
@@ -164,7 +164,7 @@
 		return err
 	}
 	before := f.position()
-	at, err := f.askCopy(ctx, vm, ses, before)
+	at, err := f.askCopy(ctx, vm, ses, f.copyFrom())
 	if errors.Is(err, errNoBase) {
 		at, err = f.askCopy(ctx, vm, ses, source.Position{})
 	}
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -209,11 +209,12 @@
 // not receive the releases in between. The series of releases has ended when it finds none.
 func (f *Follower) readLatest() error {
 	began, after := f.boot(), f.position()
-	release, err := f.store.ReadRelease()
+	changes, err := f.store.WatchServers(after.Revision, 0)
 	if err != nil {
 		return err
 	}
-	changes, err := f.store.WatchServers(after.Revision, 0)
+	// After the servers, so that no entry is from after the position of the copy.
+	release, err := f.store.ReadRelease()
 	if err != nil {
 		return err
 	}
