No 404 by a release that is no longer the active one

If the release with its route came in force in between, the node was current again and the request still got 404.

--- a/node/proxy/ingress/request.go
+++ b/node/proxy/ingress/request.go
@@ -80,7 +80,7 @@
 		return fasthttp.StatusServiceUnavailable, "this node is about to end"
 	case r.snapshot == nil || g.configStale():
 		return fasthttp.StatusServiceUnavailable, "this node holds no current release yet"
-	case m == nil && g.Current != nil && !g.Current():
+	case m == nil && g.outdated(r.snapshot):
 		return fasthttp.StatusServiceUnavailable, "no route matches, but this node may not have the newest configuration yet"
 	case m == nil:
 		return fasthttp.StatusNotFound, "no route matches this host, method and path"
@@ -95,6 +95,11 @@
 	}
 }
 
+// outdated reports whether a newer release than snapshot may be active or confirmed.
+func (g *Ingress) outdated(snapshot *mesh.Snapshot) bool {
+	return g.Current != nil && (!g.Current() || g.State.Snapshot() != snapshot)
+}
+
 // outdatedRetryAfter is when to ask again for a route that this node may not know yet.
 const outdatedRetryAfter = 250 * time.Millisecond
 
