Patch the newest release that both nodes hold

A patch of the release that the sender held at the asking node's position was of no use there, and the whole copy was sent while the links were busiest. A request now names the releases of which its sender takes patches.

--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -24,13 +24,18 @@
 	if r == nil {
 		return false
 	}
-	f.sendCopies(st, source.Position{Era: r.GetEra(), Revision: r.GetAfter()}, r.GetFollow(), f.boot())
+	f.sendCopies(st, r, f.boot())
 	return true
 }
 
-// sendCopies sends what is newer than a position, and if follow is set, each further change
-// and confirmation until the stream ends. asked is when the request was received.
-func (f *Follower) sendCopies(st *session.Stream, after source.Position, follow bool, asked time.Duration) {
+// sendCopies sends what is newer than the position in a request, and if that asks for it, each
+// further change and confirmation until the stream ends. asked is when the request was received.
+func (f *Follower) sendCopies(st *session.Stream, r *peerpb.SourceCopyRequest, asked time.Duration) {
+	after, follow := source.Position{Era: r.GetEra(), Revision: r.GetAfter()}, r.GetFollow()
+	held := make([]source.Position, len(r.GetReleases()))
+	for i, p := range r.GetReleases() {
+		held[i] = source.Position{Era: p.GetEra(), Revision: p.GetRevision()}
+	}
 	ended := make(chan struct{})
 	if follow {
 		var watcher conc.WaitGroup
@@ -42,7 +47,7 @@
 		})
 	}
 	for first := true; ; first = false {
-		c, renewed, err := f.copySince(after)
+		c, renewed, err := f.copySince(after, held...)
 		if err != nil {
 			f.log.Error().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be encoded")
 			return
@@ -60,7 +65,8 @@
 		if !follow {
 			return
 		}
-		after = positionOf(c)
+		// From now on the other node holds what this stream has sent.
+		after, held = positionOf(c), nil
 		select {
 		case <-renewed:
 		case <-ended:
@@ -73,8 +79,9 @@
 
 // copySince returns the changes after a position, or the whole copy if they are not known, and
 // a channel that is closed when the copy has changed or was confirmed. A changed release may be sent
-// as a patch of the one at that position; a node that holds another one asks for the whole copy.
-func (f *Follower) copySince(after source.Position) (*peerpb.SourceCopy, <-chan struct{}, error) {
+// as a patch: of the newest of those that the other node is known to hold, or else of the one at that
+// position. A node that holds another one asks for the whole copy.
+func (f *Follower) copySince(after source.Position, held ...source.Position) (*peerpb.SourceCopy, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, at := f.boot(), f.replica.Position()
@@ -88,7 +95,7 @@
 	}
 	if at.Compare(after) > 0 {
 		var err error
-		if c.After, c.Items, err = f.encodeSinceLocked(after); err != nil {
+		if c.After, c.Items, err = f.encodeSinceLocked(after, held); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -97,16 +104,20 @@
 
 // encodeSinceLocked returns the encoded changes after a position of the present era, of which base
 // is the revision, or the whole copy with base 0. The caller holds mu.
-func (f *Follower) encodeSinceLocked(after source.Position) (base uint64, data []byte, err error) {
+func (f *Follower) encodeSinceLocked(after source.Position, held []source.Position) (base uint64, data []byte, err error) {
 	if !f.replica.Knows(after) {
 		after = source.Position{}
 	}
-	key := encodingKey{after: after, at: f.replica.Position()}
+	old := f.releases.common(held)
+	if len(held) == 0 {
+		old = f.releases.at(after)
+	}
+	key := encodingKey{after: after, at: f.replica.Position(), base: old.Position()}
 	if data := f.encoded.find(key); data != nil {
 		return after.Revision, data, nil
 	}
 	began := f.boot()
-	if data, err = encodeChanges(f.replica.Since(after), f.releases.at(after)); err != nil {
+	if data, err = encodeChanges(f.replica.Since(after), old); err != nil {
 		return 0, nil, err
 	}
 	counters.encodeMicros.Add((f.boot() - began).Microseconds())
@@ -130,7 +141,8 @@
 		f.replica.ExtendGrace(now.Add(grace))
 	}
 	if c.GetAfter() > 0 {
-		f.encoded.add(encodingKey{after: after, at: at}, c.GetItems())
+		old := f.releases.at(after)
+		f.encoded.add(encodingKey{after: after, at: at, base: old.Position()}, c.GetItems())
 		f.replica.Apply(now, source.Changes{Changes: changes, Era: at.Era, Revision: at.Revision})
 		return nil
 	}
@@ -158,9 +170,10 @@
 	sets []encodedSet
 }
 
-// encodingKey identifies the encoding of the changes after one position up to another one.
+// encodingKey identifies the encoding of the changes after one position up to another one, in which
+// a release is a patch of the one at base.
 type encodingKey struct {
-	after, at source.Position
+	after, at, base source.Position
 }
 
 type encodedSet struct {
@@ -205,6 +218,25 @@
 	return true
 }
 
+// positions returns the positions of the releases.
+func (h *releaseHistory) positions() []source.Position {
+	all := make([]source.Position, len(h.items))
+	for i := range h.items {
+		all[i] = h.items[i].Position()
+	}
+	return all
+}
+
+// common returns the newest release that is at one of the positions, or an empty item.
+func (h *releaseHistory) common(positions []source.Position) source.Item {
+	for _, item := range slices.Backward(h.items) {
+		if slices.Contains(positions, item.Position()) {
+			return item
+		}
+	}
+	return source.Item{}
+}
+
 // at returns the release item that a copy as of a position holds, or an empty item if it is not
 // known.
 func (h *releaseHistory) at(position source.Position) source.Item {
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	asked := f.boot()
-	st, err := ses.Open(copyRequest(after, true))
+	st, err := ses.Open(copyRequest(after, true, f.heldReleases(after)...))
 	if err != nil {
 		return err
 	}
@@ -117,8 +117,12 @@
 // pastDeadline is a stream deadline that interrupts pending reads and writes at once.
 var pastDeadline = time.Unix(1, 0)
 
-func copyRequest(after source.Position, follow bool) *peerpb.Request {
+// copyRequest returns the request for what is newer than a position, from a node that holds releases.
+func copyRequest(after source.Position, follow bool, releases ...source.Position) *peerpb.Request {
 	r := &peerpb.SourceCopyRequest{Era: after.Era, After: after.Revision, Follow: follow}
+	for _, p := range releases {
+		r.Releases = append(r.Releases, &peerpb.SourcePosition{Era: p.Era, Revision: p.Revision})
+	}
 	return &peerpb.Request{Kind: &peerpb.Request_SourceCopy{SourceCopy: r}}
 }
 
@@ -183,7 +187,7 @@
 func (f *Follower) askCopy(ctx context.Context, vm string, ses *session.Session, after source.Position) (source.Position, error) {
 	asked := f.boot()
 	var c peerpb.SourceCopy
-	if err := ses.Exchange(ctx, copyRequest(after, false), &c); err != nil {
+	if err := ses.Exchange(ctx, copyRequest(after, false, f.heldReleases(after)...), &c); err != nil {
 		return source.Position{}, err
 	}
 	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: vm})
@@ -197,6 +201,17 @@
 	return positionOf(&c), nil
 }
 
+// heldReleases returns the positions of the releases of which this node takes patches, none if it
+// asks for all items.
+func (f *Follower) heldReleases(after source.Position) []source.Position {
+	if after == (source.Position{}) {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.releases.positions()
+}
+
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 var (
