Leave time to receive a release in the wait of a watch

At 9 Mbit/s beside requests 357 kB take 0.7 s, so that all copies were 1.3 to 1.5 s old, above the age at which parents are left, with nothing failing; some 13 nodes then read the store themselves and filled their links.

The wait is shorter by twice the time that the release takes on the VM's link, down to a tenth of the bound, and a series is combined over a quarter of the bound instead of a third, which the root's link bears (56% of it for such a release, 42% before).

--- a/node/follow/backlog_test.go
+++ b/node/follow/backlog_test.go
@@ -94,7 +94,7 @@
 			padding := strings.Repeat("x", 300_000)
 			store.put("config", "\x01"+padding)
 			cfg := DefaultConfig()
-			cfg.ApplyWithin = 2500 * time.Millisecond
+			cfg.ApplyWithin, cfg.LinkRate = 2500*time.Millisecond, store.bytesPerSecond
 			r := startFollowerWith(cfg, store, noPeers{})
 			defer r.stop()
 			time.Sleep(5 * time.Second)
--- a/node/follow/config.go
+++ b/node/follow/config.go
@@ -53,8 +53,11 @@
 	// CombineMax is the upper limit of the delay of a watch that results from ReadShare.
 	// Default 500 ms.
 	CombineMax time.Duration
+	// LinkRate is the rate of the VM's network link in bytes per second; 0 if unknown. The wait of a
+	// watch is shorter by the time that receiving a changed release takes.
+	LinkRate float64
 	// ApplyWithin is the time within which this node must apply a change. In a continuous
-	// series of changes, those of one third of this time are combined into one call; the
+	// series of changes, those of one quarter of this time are combined into one call; the
 	// rest is left for the call itself, building the release and requests in flight.
 	// Default 2 s.
 	ApplyWithin time.Duration
@@ -85,7 +88,7 @@
 const (
 	// combineDivisor is the divisor of ApplyWithin that gives the time for which the changes
 	// of a continuous series are combined into one call.
-	combineDivisor = 3
+	combineDivisor = 4
 	// combineBurst is the number of watches that may follow each other without that delay
 	// after a time without changes.
 	combineBurst = 3
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -262,7 +262,28 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.machine.WatchWait(f.boot())
+	wait := f.machine.WatchWait(f.boot())
+	return max(wait-f.receiveTimeLocked(), min(wait, f.cfg.ApplyWithin/minWaitDivisor))
+}
+
+const (
+	// minWaitDivisor is the divisor of ApplyWithin that gives the shortest wait of a watch.
+	minWaitDivisor = 10
+	// receiveFactor is how much longer a response may take than on an idle link: requests use up
+	// to half of it.
+	receiveFactor = 2
+	// base64Factor is the size of an encoded value relative to the value.
+	base64Factor = 4.0 / 3
+)
+
+// receiveTimeLocked returns the time that a response with the release takes. The caller holds mu.
+func (f *Follower) receiveTimeLocked() time.Duration {
+	item, found := f.replica.Release()
+	if !found || f.cfg.LinkRate <= 0 {
+		return 0
+	}
+	seconds := receiveFactor * base64Factor * float64(len(item.Value)) / f.cfg.LinkRate
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // delayWatch waits before the next watch. The first delay keeps the watches that one change
--- a/node/store.go
+++ b/node/store.go
@@ -62,6 +62,7 @@
 func (n *Node) newFollower() {
 	cfg := follow.DefaultConfig()
 	cfg.ReadsPerSecond = n.startSettings.Platform.ReadsPerSecond
+	cfg.LinkRate = n.startSettings.VM.LinkBytesPerSecond()
 	cfg.ApplyWithin = min(n.startSettings.Platform.ApplyWithin.Std(), n.startSettings.Platform.LeaveWithin.Std())
 	cfg.Replica.WithholdFor = withholdHeartbeats * n.startSettings.Platform.Heartbeat.Std()
 	if n.startSettings.Platform.Reading == settings.ReadingAll {
