Refuse a configuration that is too large by name, and serve on

Cause: there was no limit of size on what a replica holds. A configuration or an odd entry of any size was held, passed on and decoded by every node, and values of keys that no one reads were held and sent as well.

Now a replica holds releases up to 2 MiB (twice the largest value of the store) and reads entries of servers up to 64 KiB; of other keys it holds no value. The release in force stays, in the replica too, and the next one that fits is taken. A node that starts while the store's release is too large takes the one in force from its peers.

TestReleaseAboveTheLimit and TestItemsAboveTheLimits show it, one below and one above each limit. Before, all of these were taken.

--- a/core/source/replica.go
+++ b/core/source/replica.go
@@ -135,7 +135,8 @@
 	return r.named
 }
 
-// DecodeErrors returns the decode errors since the last call.
+// DecodeErrors returns the decode errors since the last call. A *TooLargeError is of an item above a
+// limit.
 func (r *Replica) DecodeErrors() []error {
 	p := r.decodeErrors
 	r.decodeErrors = nil
@@ -196,14 +197,18 @@
 	return true
 }
 
-// put stores an item unless the replica has the same or a newer one. A release without a value
-// could not be read; the one before stays.
+// put stores an item unless the replica has the same or a newer one. A release that has no value,
+// because it could not be read, or one above its limit is not stored; the one before stays.
 func (r *Replica) put(item Item) {
 	old, found := r.items[item.Key]
 	kind := r.decoder.Kind(item.Key)
 	if found && !r.supersedes(item, old) || kind == Release && len(item.Value) == 0 {
 		return
 	}
+	if tooLarge := checkSize(kind, &item); tooLarge != nil && kind == Release {
+		r.decodeErrors = append(r.decodeErrors, tooLarge)
+		return
+	}
 	if kind == Other {
 		item.Value = nil
 	}
@@ -234,7 +239,7 @@
 // decodeServer decodes the entry of a server and lists it. Of an entry that cannot be decoded the
 // replica keeps no bytes: there may be many, and other nodes get what it keeps.
 func (r *Replica) decodeServer(item Item) {
-	entry, err := r.decoder.Server(item.Key, item.Value)
+	entry, err := r.readServer(item)
 	if err == nil {
 		r.servers[item.Key] = entry
 		delete(r.unreadable, item.Key)
@@ -249,6 +254,14 @@
 	}
 }
 
+// readServer decodes the entry of a server unless it is above the limit.
+func (r *Replica) readServer(item Item) (ServerEntry, error) {
+	if tooLarge := checkSize(Server, &item); tooLarge != nil {
+		return ServerEntry{}, tooLarge
+	}
+	return r.decoder.Server(item.Key, item.Value)
+}
+
 // remove removes an item. During the grace period after an outage it retains the server
 // entry. left is set if the store removed it, and unset if an older copy of the store lacks it.
 func (r *Replica) remove(now time.Time, key string, left bool) {
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -33,6 +33,26 @@
 	return fmt.Sprintf("store responded with status %d", e.Status)
 }
 
+// TooLargeError reports data above a limit of the node.
+type TooLargeError struct {
+	// Limit names the limit, in the form of a metric's name.
+	Limit string
+	// Key and Kind are those of the item; "" and Other if the data are not one item.
+	Key  string
+	Kind Kind
+	// Bytes is the size of the data, 0 if it is not known. Max is the limit.
+	Bytes, Max int
+}
+
+// Error returns a message with the limit and the size.
+func (e *TooLargeError) Error() string {
+	size := "size not known"
+	if e.Bytes > 0 {
+		size = fmt.Sprintf("%d bytes", e.Bytes)
+	}
+	return fmt.Sprintf("%s: %s, expected at most %d bytes", cmp.Or(e.Key, e.Limit), size, e.Max)
+}
+
 // Position is a point in the history of the store. The zero value is before all others.
 type Position struct {
 	// Era counts how often the store came back from an older copy of itself and gave revisions
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -38,6 +38,8 @@
 	// inSeries is set while releases follow each other so quickly that reading each of them takes
 	// too long.
 	inSeries atomic.Bool
+	// refused is set once a release was too large for this node.
+	refused atomic.Bool
 	// calls tracks the open calls to the store, which may outlive Run.
 	calls conc.WaitGroup
 	// stopped is closed by Stop.
@@ -209,6 +211,7 @@
 	if f.cfg.Reading == ReadByAll {
 		f.decision.Parent, f.decision.ReadStore, f.decision.AskPeers = nil, true, f.failing.Load()
 	}
+	f.decision.AskPeers = f.decision.AskPeers || f.lacksReleaseLocked()
 	if old.ReadStore != f.decision.ReadStore || old.AskPeers != f.decision.AskPeers || vmID(old.Parent) != vmID(f.decision.Parent) {
 		close(f.decided)
 		f.decided = make(chan struct{})
@@ -290,9 +293,7 @@
 		f.signalSteer()
 	}
 	f.mu.Unlock()
-	for _, problem := range problems {
-		f.log.Warn().Err(problem).Str("event", "entry-unreadable").Msg("entry of a server could not be decoded; ignoring it")
-	}
+	f.reportProblems(problems)
 	if changes != f.listChanges {
 		f.listChanges = changes
 		f.command.ApplyVMList(&vmlist.List{Revision: changes, VMs: vms})
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	before := f.position()
+	before := f.wantedAfter()
 	at, err := f.askCopy(ctx, vm, ses, before)
 	if errors.Is(err, errNoBase) {
 		at, err = f.askCopy(ctx, vm, ses, source.Position{})
--- a/node/follow/rig_test.go
+++ b/node/follow/rig_test.go
@@ -76,15 +76,30 @@
 		f.store.put(vm, "")
 	}
 	for _, vm := range vms {
-		n := &fleetNode{fleet: f, vm: vm, sessions: make(map[string][2]*session.Session)}
-		n.testFollower = startFollowerAs(vm, DefaultConfig(), n, n)
-		f.mu.Lock()
-		f.nodes[vm] = n
-		f.mu.Unlock()
+		f.start(vm)
 	}
 	return f
 }
 
+// start starts a follower for a VM.
+func (f *fleet) start(vm string) {
+	n := &fleetNode{fleet: f, vm: vm, sessions: make(map[string][2]*session.Session)}
+	n.testFollower = startFollowerAs(vm, DefaultConfig(), n, n)
+	f.mu.Lock()
+	f.nodes[vm] = n
+	f.mu.Unlock()
+}
+
+// reached reports whether every node has the changes up to a revision.
+func (f *fleet) reached(revision uint64) bool {
+	for _, n := range f.nodes {
+		if n.position().Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // close stops all nodes.
 func (f *fleet) close() {
 	for _, n := range f.nodes {
