Size copies between nodes, and their time, for the stated target

Cause: a copy was bounded twice by what small messages need. And a whole copy had 2 s to be sent and 1 s to be asked for, including the dial: 1.25 MB at 10 Mbit/s, which six children and requests share. A node that took longer began anew, at another peer, each time with the whole copy.

Now a message with a copy may have 8 MiB (a release of 2 MiB and 2,500 entries of 2 KiB), other messages 2 MiB as before; uncompressed items are bounded by the same 8 MiB instead of 16 MiB, which would not fit in a VM of 112 MB three times. The timeouts bound the time without progress: 4 s for the sender (half a window at a twelfth of 10 Mbit/s takes 1.3 s), 1 s for the node that asks, in all 30 s.

--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -44,15 +44,15 @@
 	for first := true; ; first = false {
 		c, renewed, err := f.copySince(after)
 		if err != nil {
+			f.recordTooLarge(err)
 			f.log.Error().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be encoded")
 			return
 		}
 		if first {
 			c.HeldUs = c.GetSentUs() - asked.Microseconds()
 		}
-		st.SetWriteDeadline(time.Now().Add(sendTimeout))
 		began := f.boot()
-		if err := st.Send(c); err != nil {
+		if err := st.SendLarge(c, maxMessageBytes, sendTimeout); err != nil {
 			f.log.Debug().Err(err).Str("event", "peer-copy-not-sent").Msg("copy of the store could not be sent")
 			return
 		}
--- a/node/follow/encoding.go
+++ b/node/follow/encoding.go
@@ -14,8 +14,11 @@
 
 const (
 	// maxCopyBytes is the largest uncompressed size of the items of a copy, and of a value
-	// that a patch gives.
-	maxCopyBytes = 16 << 20
+	// that a patch gives. It holds a release of source.MaxReleaseBytes and the entries of 2,500
+	// servers with 2 KiB each.
+	maxCopyBytes = 8 << 20
+	// maxMessageBytes is the largest message with a copy, compressed.
+	maxMessageBytes = maxCopyBytes + 64<<10
 	// minPatchBytes is the size from which a changed value is sent as a patch of the one
 	// before.
 	minPatchBytes = 2 << 10
@@ -37,24 +40,35 @@
 		m.Items = append(m.Items, item)
 	}
 	data, err := proto.Marshal(m)
+	if err == nil {
+		err = checkCopySize(len(data))
+	}
 	if err != nil {
 		return nil, fmt.Errorf("copy of the store: %w", err)
 	}
 	return s2.Encode(nil, data), nil
 }
 
+// checkCopySize returns an error for items of more than maxCopyBytes.
+func checkCopySize(size int) error {
+	if size <= maxCopyBytes {
+		return nil
+	}
+	return &source.TooLargeError{Limit: "peer_copy", Bytes: size, Max: maxCopyBytes}
+}
+
 // localValue returns the local value of a key if its last change was at a position.
 type localValue func(key string, at source.Position) ([]byte, bool)
 
 // decodeChanges decodes what encodeChanges returns.
 func decodeChanges(data []byte, value localValue) ([]source.Change, error) {
 	size, err := s2.DecodedLen(data)
+	if err == nil {
+		err = checkCopySize(size)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("copy of the store: %w", err)
 	}
-	if size > maxCopyBytes {
-		return nil, fmt.Errorf("copy of the store: %d bytes, expected at most %d", size, maxCopyBytes)
-	}
 	raw, err := s2.Decode(nil, data)
 	if err != nil {
 		return nil, fmt.Errorf("copy of the store: %w", err)
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -17,10 +17,15 @@
 )
 
 const (
-	// peerTimeout bounds one request to a peer, at both ends.
+	// peerTimeout bounds opening a session to a peer, and the time without a further part of the
+	// copy that a peer was asked for.
 	peerTimeout = time.Second
-	// sendTimeout bounds sending one copy to a node that follows this one.
-	sendTimeout = 2 * time.Second
+	// sendTimeout bounds the time in which a node takes no part of a copy. A node takes half a window
+	// of 256 KiB at a time, at a twelfth of a link of 10 Mbit/s in 1.3 s.
+	sendTimeout = 4 * time.Second
+	// copyTimeout bounds receiving one copy from a peer: one of maxMessageBytes at a quarter of a link
+	// of 10 Mbit/s.
+	copyTimeout = 30 * time.Second
 )
 
 // Peers provides sessions to other nodes and their addresses.
@@ -44,6 +49,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.recordTooLarge(err)
 	f.log.Debug().Err(err).Str("event", "parent-failed").Str("parent", vm.ID).Msg("changes of the store can no longer be taken from this node")
 	f.mu.Lock()
 	f.machine.ParentFailed(f.boot(), vm.ID)
@@ -77,7 +83,7 @@
 	delays := messageDelays{asked: asked, via: viaParent, from: vm.ID}
 	for {
 		var c peerpb.SourceCopy
-		if err := st.Recv(&c); err != nil {
+		if err := st.RecvLarge(&c, maxMessageBytes); err != nil {
 			return err
 		}
 		heard = true
@@ -148,6 +154,7 @@
 	for _, addr := range candidates[:min(f.cfg.PeersPerRound, len(candidates))] {
 		tasks.Go(func() {
 			if err := f.askPeer(ctx, addr); err != nil {
+				f.recordTooLarge(err)
 				f.log.Debug().Err(err).Str("event", "peer-copy-failed").Stringer("peer", addr).Msg("copy of the store could not be fetched from peer")
 			}
 		})
@@ -156,10 +163,10 @@
 
 // askPeer requests a copy from one peer and applies it.
 func (f *Follower) askPeer(ctx context.Context, addr netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	dial, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	vm := addr.Addr().String()
-	ses, err := f.peers.Get(ctx, vm, addr)
+	ses, err := f.peers.Get(dial, vm, addr)
 	if err != nil {
 		return err
 	}
@@ -181,9 +188,11 @@
 // askCopy requests what is newer than a position over a session to a VM and applies it. It returns
 // the position of the copy.
 func (f *Follower) askCopy(ctx context.Context, vm string, ses *session.Session, after source.Position) (source.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
 	asked := f.boot()
 	var c peerpb.SourceCopy
-	if err := ses.Exchange(ctx, copyRequest(after, false), &c); err != nil {
+	if err := ses.ExchangeLarge(ctx, copyRequest(after, false), &c, maxMessageBytes, peerTimeout); err != nil {
 		return source.Position{}, err
 	}
 	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: vm})
--- a/wire/frame/frame.go
+++ b/wire/frame/frame.go
@@ -1,8 +1,8 @@
 // Package frame reads and writes length-prefixed protobuf messages.
 //
 // A frame is a 4-byte big-endian length followed by that many bytes of one encoded
-// message. A length above MaxBytes is rejected before anything is read or allocated for
-// the message.
+// message. A length above the limit, which is MaxBytes unless the caller gives another one, is
+// rejected before anything is read or allocated for the message.
 package frame
 
 import (
@@ -17,7 +17,7 @@
 )
 
 const (
-	// MaxBytes is the largest size of an encoded message.
+	// MaxBytes is the largest size of an encoded message for which no other limit is given.
 	MaxBytes = 2 << 20
 	// prefixBytes is the size of the length prefix.
 	prefixBytes = 4
@@ -26,7 +26,7 @@
 	maxPooledBytes = 64 << 10
 )
 
-// ErrTooLarge is returned for a message larger than MaxBytes.
+// ErrTooLarge is returned for a message larger than the limit.
 var ErrTooLarge = errors.New("frame is too large")
 
 var buffers = sync.Pool{New: func() any {
@@ -35,7 +35,10 @@
 }}
 
 // Write encodes m and writes length prefix and message in one call of w.Write.
-func Write(w io.Writer, m proto.Message) error {
+func Write(w io.Writer, m proto.Message) error { return WriteUpTo(w, m, MaxBytes) }
+
+// WriteUpTo is like Write with another limit than MaxBytes.
+func WriteUpTo(w io.Writer, m proto.Message, limit int) error {
 	p := buffers.Get().(*[]byte)
 	defer putBuffer(p)
 	buf := append((*p)[:0], 0, 0, 0, 0)
@@ -45,8 +48,8 @@
 	}
 	*p = buf
 	size := len(buf) - prefixBytes
-	if size > MaxBytes {
-		return fmt.Errorf("%w: %d bytes, expected at most %d", ErrTooLarge, size, MaxBytes)
+	if size > limit {
+		return fmt.Errorf("%w: %d bytes, expected at most %d", ErrTooLarge, size, limit)
 	}
 	binary.BigEndian.PutUint32(buf, uint32(size))
 	_, err = w.Write(buf)
@@ -55,7 +58,10 @@
 
 // Read reads one frame into m. It returns io.EOF only if the stream ends before the first
 // byte of the frame.
-func Read(r io.Reader, m proto.Message) error {
+func Read(r io.Reader, m proto.Message) error { return ReadUpTo(r, m, MaxBytes) }
+
+// ReadUpTo is like Read with another limit than MaxBytes.
+func ReadUpTo(r io.Reader, m proto.Message, limit int) error {
 	p := buffers.Get().(*[]byte)
 	defer putBuffer(p)
 	buf := grow((*p)[:0], prefixBytes)
@@ -63,8 +69,8 @@
 		return err
 	}
 	size := int(binary.BigEndian.Uint32(buf))
-	if size > MaxBytes {
-		return fmt.Errorf("%w: %d bytes, expected at most %d", ErrTooLarge, size, MaxBytes)
+	if size > limit {
+		return fmt.Errorf("%w: %d bytes, expected at most %d", ErrTooLarge, size, limit)
 	}
 	buf, err := readBody(r, buf, size)
 	if err != nil {
--- a/wire/session/session.go
+++ b/wire/session/session.go
@@ -183,6 +183,12 @@
 	_ = s.mux.SetDeadline(t)
 }
 
+// SetReadDeadline bounds all later reads.
+func (s *Stream) SetReadDeadline(t time.Time) {
+	// SetReadDeadline of a yamux stream always returns nil.
+	_ = s.mux.SetReadDeadline(t)
+}
+
 // SetWriteDeadline bounds all later writes.
 func (s *Stream) SetWriteDeadline(t time.Time) {
 	// SetWriteDeadline of a yamux stream always returns nil.
