--- a/node/follow/bench_test.go
+++ b/node/follow/bench_test.go
@@ -101,3 +101,48 @@
 		})
 	}
 }
+
+// storeValueBytes is the largest value of the store.
+const storeValueBytes = 1 << 20
+
+// largestValue returns a configuration of storeValueBytes in which a number of routes is changed.
+func largestValue(changed int) []byte {
+	var rows strings.Builder
+	for i := 0; rows.Len() < storeValueBytes; i++ {
+		name := fmt.Sprintf("r-%07x", i*7919)
+		if i < changed {
+			name = "changed"
+		}
+		fmt.Fprintf(&rows, `["%s","jepu%d.example","/lepu%x/","safe","1000ms","250ms",2,"a",2,null],`, name, i%40, i*104729)
+	}
+	return []byte(rows.String()[:storeValueBytes])
+}
+
+// BenchmarkCopyOfLargest measures what a node sends of a configuration of the largest value: the
+// whole, and patches of it.
+func BenchmarkCopyOfLargest(b *testing.B) {
+	old := source.Item{Key: configKey, Value: largestValue(0), Revision: 1}
+	held := func(string, source.Position) ([]byte, bool) { return old.Value, true }
+	for _, changed := range []int{0, 1, 480} {
+		base := old
+		if changed == 0 {
+			base = source.Item{}
+		}
+		changes := []source.Change{{Item: source.Item{Key: configKey, Value: largestValue(changed), Revision: 2}}}
+		b.Run(fmt.Sprintf("changed_routes=%d", changed), func(b *testing.B) {
+			b.ReportAllocs()
+			sent := 0
+			for b.Loop() {
+				data, err := encodeChanges(changes, base)
+				if err != nil {
+					b.Fatal(err)
+				}
+				sent = len(data)
+				if _, err := decodeChanges(data, held); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(sent), "sent-B")
+		})
+	}
+}
