Don't let a slow peer hold up a round of requests for copies

Cause: a round waits for all peers that it asked. Since a copy may take up to 30 s while parts of it arrive, one peer on a slow link kept a node from asking others for 30 s, although another one had answered at once.

Now the others have one more second once one peer gave a newer copy.

--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -142,8 +142,11 @@
 	}
 }
 
-// askRound requests a copy from PeersPerRound random peers at the same time.
+// askRound requests a copy from PeersPerRound random peers at the same time. Once one gave a newer copy
+// the others have peerTimeout left, so that a large copy on a slow link doesn't delay the next round.
 func (f *Follower) askRound(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	counters.askRounds.Add(1)
 	candidates := f.peers.Candidates()
 	rand.Shuffle(len(candidates), func(i, j int) {
@@ -153,7 +156,11 @@
 	defer tasks.Wait()
 	for _, addr := range candidates[:min(f.cfg.PeersPerRound, len(candidates))] {
 		tasks.Go(func() {
-			if err := f.askPeer(ctx, addr); err != nil {
+			newer, err := f.askPeer(ctx, addr)
+			if newer && f.wantedAfter().Revision > 0 {
+				time.AfterFunc(peerTimeout, cancel)
+			}
+			if err != nil {
 				f.recordTooLarge(err)
 				f.log.Debug().Err(err).Str("event", "peer-copy-failed").Stringer("peer", addr).Msg("copy of the store could not be fetched from peer")
 			}
@@ -161,14 +168,14 @@
 	}
 }
 
-// askPeer requests a copy from one peer and applies it.
-func (f *Follower) askPeer(ctx context.Context, addr netip.AddrPort) error {
+// askPeer requests a copy from one peer and applies it. It reports whether the copy was newer.
+func (f *Follower) askPeer(ctx context.Context, addr netip.AddrPort) (newer bool, err error) {
 	dial, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	vm := addr.Addr().String()
 	ses, err := f.peers.Get(dial, vm, addr)
 	if err != nil {
-		return err
+		return false, err
 	}
 	before := f.wantedAfter()
 	at, err := f.askCopy(ctx, vm, ses, before)
@@ -176,13 +183,14 @@
 		at, err = f.askCopy(ctx, vm, ses, source.Position{})
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
-	if at.Compare(before) > 0 {
+	newer = at.Compare(before) > 0
+	if newer {
 		f.log.Info().Str("event", "peer-copy-taken").Stringer("peer", addr).
 			Uint64("from_revision", before.Revision).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("copy of the store applied from a peer")
 	}
-	return nil
+	return newer, nil
 }
 
 // askCopy requests what is newer than a position over a session to a VM and applies it. It returns
