--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -40,7 +40,7 @@
 	down        bool
 	historyLost bool
 	// maxReleases is the largest number of releases that a watch returns; 0 if there is none.
-	maxReleases int
+	maxReleases atomic.Int64
 	lists       atomic.Int64
 	watches     atomic.Int64
 	changed     chan struct{}
@@ -110,7 +110,7 @@
 	s.watches.Add(1)
 	for timedOut := false; ; {
 		s.mu.Lock()
-		c, releases := source.Changes{Revision: s.revision, Era: s.era}, 0
+		c, releases := source.Changes{Revision: s.revision, Era: s.era}, int64(0)
 		for _, e := range s.events {
 			if e.Revision > after && (without == "" || e.Key != without) {
 				e.Era = s.era
@@ -126,7 +126,7 @@
 		switch {
 		case down:
 			return source.Changes{}, errDown
-		case s.maxReleases > 0 && releases > s.maxReleases:
+		case s.maxReleases.Load() > 0 && releases > s.maxReleases.Load():
 			return source.Changes{}, source.ErrTooManyChanges
 		case lost:
 			s.change(func() { s.historyLost = false })
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -161,7 +161,7 @@
 	for _, addr := range candidates[:min(f.cfg.PeersPerRound, len(candidates))] {
 		tasks.Go(func() {
 			newer, err := f.askPeer(ctx, addr)
-			if newer && f.wantedAfter().Revision > 0 {
+			if newer && f.copyFrom().Revision > 0 {
 				time.AfterFunc(peerTimeout, cancel)
 			}
 			if err != nil {
--- a/node/follow/series_test.go
+++ b/node/follow/series_test.go
@@ -21,7 +21,7 @@
 			store, r := startWithOneRelease()
 			defer r.stop()
 			time.Sleep(time.Second)
-			store.maxReleases = 2
+			store.maxReleases.Store(2)
 			lists := store.lists.Load()
 			sequence := byte(1)
 			for range 40 {
