Reset a connection that is accepted while the node stops

If the client's request crosses it, the client sees a broken connection and can't tell that nothing was read. It is now reset. TestConnectionAcceptedWhileStopping failed before.

--- a/node/callerhttp/callerhttp_test.go
+++ b/node/callerhttp/callerhttp_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -439,3 +441,23 @@
 		So(s.Serve(l), ShouldBeNil)
 	})
 }
+
+// Guards against a response to a connection that was accepted while the server stops, on which no
+// request is waiting: its client takes that for a broken connection after a request may have run.
+func TestConnectionAcceptedWhileStopping(t *testing.T) {
+	Convey("A connection that is accepted while the server stops is reset", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		client, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer client.Close()
+		accepted, err := l.Accept()
+		So(err, ShouldBeNil)
+		s := New(DefaultConfig(), &rig{})
+		So(s.Shutdown(context.Background()), ShouldBeNil)
+		s.start(accepted)
+		_, err = client.Read(make([]byte, 1))
+		So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+	})
+}
--- a/node/callerhttp/server.go
+++ b/node/callerhttp/server.go
@@ -168,11 +168,23 @@
 // tooManyConnections is the response on a connection above the limit.
 const tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// reset closes a connection of which nothing was read, so that its client knows that.
+func reset(nc net.Conn) {
+	if tcp, isTCP := nc.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = nc.Close()
+}
+
 // start serves a new connection on a goroutine of its own.
 func (s *Server) start(nc net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing.Load() || len(s.conns) >= s.cfg.MaxConnections {
+	if s.closing.Load() {
+		reset(nc)
+		return
+	}
+	if len(s.conns) >= s.cfg.MaxConnections {
 		// The socket's buffer is empty, so the write does not wait.
 		_, _ = nc.Write([]byte(tooManyConnections))
 		_ = nc.Close()
