--- a/core/mesh/source.go
+++ b/core/mesh/source.go
@@ -94,7 +94,7 @@
 	for _, name := range slices.Sorted(maps.Keys(built)) {
 		m.Chunks = append(m.Chunks, built[name].ref)
 	}
-	encoded, err := m.Encode()
+	encoded, err := m.EncodeLocal()
 	if err != nil {
 		return nil, fmt.Errorf("published release: %w", err)
 	}
@@ -199,8 +199,8 @@
 }
 
 // maxUnused is the number of routes that are kept beyond those of the last release, relative to
-// these.
-const maxUnused = 0.5
+// these. A decoder may alternate between two sets of routes with the same content.
+const maxUnused = 1.5
 
 // dropUnused drops the routes that the last release does not have, once there are many of them.
 func (b *Builder) dropUnused() {
--- a/node/follow/store.go
+++ b/node/follow/store.go
@@ -98,6 +98,9 @@
 // that a response is from before then.
 var errEraChanged = errors.New("the response of the store is of another era")
 
+// errPageOrder reports a page that ends before the one before it although more follow.
+var errPageOrder = errors.New("page of the store does not continue after the key that was asked for")
+
 // readAll reads all pages. The next watch starts at the revision of the first page, so that
 // changes made while the pages were read are not missed; some are received twice.
 func (f *Follower) readAll() error {
@@ -149,14 +152,25 @@
 		if page.Era != at.Era {
 			return nil, at, errEraChanged
 		}
+		f.logUnreadable(page.Unreadable)
 		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
+		if !page.More {
 			return items, at, nil
 		}
+		if len(page.Items) == 0 || page.Items[len(page.Items)-1].Key <= after {
+			return nil, at, errPageOrder
+		}
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
 
+// logUnreadable logs that items of a response could not be read completely.
+func (f *Follower) logUnreadable(errs []error) {
+	if len(errs) > 0 {
+		f.log.Warn().Err(errs[0]).Str("event", "item-unreadable").Int("items", len(errs)).Msg("items of the store could not be read completely; the others are used")
+	}
+}
+
 // replaceLocked replaces the items by those that the store had at a position, and reports if it
 // came back from an older copy. The caller holds mu.
 func (f *Follower) replaceLocked(now time.Time, items []source.Item, at source.Position) {
@@ -181,6 +195,7 @@
 		return source.ErrHistoryLost
 	}
 	f.recordSuccess()
+	f.logUnreadable(changes.Unreadable)
 	asOf := began
 	if len(changes.Changes) == 0 {
 		// The store waited in full before it responded.
@@ -194,11 +209,12 @@
 // not receive the releases in between. The series of releases has ended when it finds none.
 func (f *Follower) readLatest() error {
 	began, after := f.boot(), f.position()
-	release, err := f.store.ReadRelease()
+	changes, err := f.store.WatchServers(after.Revision, 0)
 	if err != nil {
 		return err
 	}
-	changes, err := f.store.WatchServers(after.Revision, 0)
+	// After the servers, so that no entry is from after the position of the copy.
+	release, err := f.store.ReadRelease()
 	if err != nil {
 		return err
 	}
@@ -211,6 +227,8 @@
 	}
 	changes.Revision = min(changes.Revision, release.Revision)
 	f.recordSuccess()
+	f.logUnreadable(release.Unreadable)
+	f.logUnreadable(changes.Unreadable)
 	f.applyChanges(changes, began)
 	return nil
 }
--- a/node/proxy/ingress/request.go
+++ b/node/proxy/ingress/request.go
@@ -28,8 +28,7 @@
 	if r.snapshot == nil {
 		return r
 	}
-	uri := x.Request.URI()
-	r.match = r.snapshot.MatchRoute(string(uri.Host()), string(x.Request.Header.Method()), string(uri.Path()))
+	r.match = r.snapshot.MatchRoute(x.Target.Host, string(x.Request.Header.Method()), x.Target.Path)
 	if r.match != nil {
 		r.deadline = x.Arrived().Add(g.requestTimeout(x, r.match))
 	}
@@ -43,7 +42,7 @@
 	if g.Headers.Deadline == "" {
 		return limit
 	}
-	ms, err := strconv.ParseInt(string(x.Request.Header.Peek(g.Headers.Deadline)), 10, 32)
+	ms, err := strconv.ParseInt(string(header(&x.Request.Header, g.Headers.Deadline)), 10, 32)
 	if err != nil {
 		return limit
 	}
@@ -81,7 +80,7 @@
 		return fasthttp.StatusServiceUnavailable, "this node is about to end"
 	case r.snapshot == nil || g.configStale():
 		return fasthttp.StatusServiceUnavailable, "this node holds no current release yet"
-	case m == nil && g.Current != nil && !g.Current():
+	case m == nil && g.outdated(r.snapshot):
 		return fasthttp.StatusServiceUnavailable, "no route matches, but this node may not have the newest configuration yet"
 	case m == nil:
 		return fasthttp.StatusNotFound, "no route matches this host, method and path"
@@ -96,6 +95,11 @@
 	}
 }
 
+// outdated reports whether a newer release than snapshot may be active or confirmed.
+func (g *Ingress) outdated(snapshot *mesh.Snapshot) bool {
+	return g.Current != nil && (!g.Current() || g.State.Snapshot() != snapshot)
+}
+
 // outdatedRetryAfter is when to ask again for a route that this node may not know yet.
 const outdatedRetryAfter = 250 * time.Millisecond
 
