Show a patch that is passed on as one of another release

A node keeps the encoded changes that it got, for the nodes that follow it, under the release that it held at their first position. Since the sender may have taken an older one that both hold. A node that follows and holds only the newer one gets a patch that it cannot apply, and then asks for the whole copy.

--- a/node/follow/patch_test.go
+++ b/node/follow/patch_test.go
@@ -104,3 +104,24 @@
 		So(child.position().Revision, ShouldEqual, 15)
 	})
 }
+
+// Guards against whole copies because a node passes on the patch that it got as one of another
+// release.
+func TestPatchThatIsPassedOn(t *testing.T) {
+	Convey("A node that took a patch of an older release sends one of the release that the next node holds", t, func() {
+		parent, node := idleFollower(largeRelease(1, 5)), idleFollower(largeRelease(1, 5))
+		parent.advance(largeRelease(2, 9))
+		node.advance(largeRelease(3, 12))
+		parent.advance(largeRelease(4, 15))
+		next := idleFollower(largeRelease(3, 12))
+		c, _, err := parent.copySince(node.position(), node.heldReleases(node.position())...)
+		So(err, ShouldBeNil)
+		_, err = node.applyCopy(c, new(messageDelays))
+		So(err, ShouldBeNil)
+		c, _, err = node.copySince(next.position(), next.heldReleases(next.position())...)
+		So(err, ShouldBeNil)
+		_, err = next.applyCopy(c, new(messageDelays))
+		So(err, ShouldBeNil)
+		So(next.position().Revision, ShouldEqual, 15)
+	})
+}
