--- a/node/follow/copy.go
+++ b/node/follow/copy.go
@@ -112,6 +112,9 @@
 	if len(held) == 0 {
 		old = f.releases.at(after)
 	}
+	if item, _ := f.replica.Release(); item.Position().Compare(after) <= 0 {
+		old = source.Item{}
+	}
 	key := encodingKey{after: after, at: f.replica.Position(), base: old.Position()}
 	if data := f.encoded.find(key); data != nil {
 		return after.Revision, data, nil
@@ -132,7 +135,11 @@
 	if c.GetAfter() > 0 && (after.Era != held.Era || after.Revision > held.Revision) {
 		return errGap
 	}
-	changes, err := decodeChanges(c.GetItems(), f.baseLocked)
+	base := source.Position{}
+	changes, err := decodeChanges(c.GetItems(), func(key string, at source.Position) ([]byte, bool) {
+		base = at
+		return f.baseLocked(key, at)
+	})
 	if err != nil {
 		return err
 	}
@@ -141,8 +148,7 @@
 		f.replica.ExtendGrace(now.Add(grace))
 	}
 	if c.GetAfter() > 0 {
-		old := f.releases.at(after)
-		f.encoded.add(encodingKey{after: after, at: at, base: old.Position()}, c.GetItems())
+		f.encoded.add(encodingKey{after: after, at: at, base: base}, c.GetItems())
 		f.replica.Apply(now, source.Changes{Changes: changes, Era: at.Era, Revision: at.Revision})
 		return nil
 	}
@@ -171,7 +177,7 @@
 }
 
 // encodingKey identifies the encoding of the changes after one position up to another one, in which
-// a release is a patch of the one at base.
+// a release is a patch of the one at base, if base is not the zero value.
 type encodingKey struct {
 	after, at, base source.Position
 }
