--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +21,7 @@
 	"auburnladder.example/core/vmlist"
 	"auburnladder.example/node/command"
 	"auburnladder.example/node/state"
+	"auburnladder.example/wire/frame"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	"github.com/cespare/xxhash/v2"
@@ -145,7 +149,11 @@
 	return map[string]bool{"s": true}, nil
 }
 
+// Server returns an error for keys that begin with "odd".
 func (plainDecoder) Server(key string, _ []byte) (source.ServerEntry, error) {
+	if strings.HasPrefix(key, "odd") {
+		return source.ServerEntry{}, errors.New("odd entry")
+	}
 	return source.ServerEntry{VM: vmlist.VM{ID: key, Service: "s", Peer: netip.MustParseAddrPort(key + ":1")}}, nil
 }
 
@@ -466,3 +474,21 @@
 		}
 	})
 }
+
+// Guards against large unreadable entries with which a copy of the store exceeds the size of a
+// message between nodes.
+func TestCopyWithLargeUnreadableEntries(t *testing.T) {
+	Convey("A copy with two entries of 1 MiB that don't compress and can't be read fits into a message", t, func() {
+		f := New(DefaultConfig(), newFakeStore(), plainDecoder{}, noPeers{}, &command.Commander{State: state.New(state.Identity{})}, bootClock(), zerolog.Nop())
+		var items []source.Item
+		for i := range 2 {
+			value := make([]byte, 1<<20)
+			_, _ = rand.Read(value)
+			items = append(items, source.Item{Key: fmt.Sprint("odd", i), Value: value, Revision: 2})
+		}
+		f.replica.Replace(time.Now(), items, source.Position{Revision: 2})
+		c, _, err := f.copySince(source.Position{}, false)
+		So(err, ShouldBeNil)
+		So(frame.Write(io.Discard, c), ShouldBeNil)
+	})
+}
