--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -517,7 +517,7 @@
 			items = append(items, source.Item{Key: fmt.Sprint("odd", i), Value: value, Revision: 2})
 		}
 		f.replica.Replace(time.Now(), items, source.Position{Revision: 2})
-		c, _, err := f.copySince(source.Position{}, false)
+		c, _, err := f.copySince(source.Position{})
 		So(err, ShouldBeNil)
 		So(frame.Write(io.Discard, c), ShouldBeNil)
 	})
