Show uploads that wait for a suspended node without regard to their timeout

Seen: the node beside the only server of a service is suspended for 5 s while unsafe requests with bodies of 250 kB come. Calm nodes that have begun to send a request get stuck in the write: the client gets nothing until it leaves, 3 s after the timeout.

--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -25,13 +25,18 @@
 
 // send sends a request on a new connection and waits for its answer until its deadline.
 func (l *lab) send(v *vm, method, host, path, id string, deadline time.Duration) answer {
-	a := l.exchange(v, method, host, path, id, deadline)
+	return l.sendBody(v, method, host, path, id, deadline, nil)
+}
+
+// sendBody is send with a body.
+func (l *lab) sendBody(v *vm, method, host, path, id string, deadline time.Duration, body []byte) answer {
+	a := l.exchange(v, method, host, path, id, deadline, body)
 	l.printf("client at %s: %s %s%s, request %s: status %d, %d bytes, whole %t, after %d ms, ended %t, %v",
 		v.ip, method, host, path, id, a.status, a.bytes, a.whole, a.took.Milliseconds(), a.ended, a.err)
 	return a
 }
 
-func (l *lab) exchange(v *vm, method, host, path, id string, deadline time.Duration) answer {
+func (l *lab) exchange(v *vm, method, host, path, id string, deadline time.Duration, body []byte) answer {
 	a := answer{id: id}
 	c, err := net.DialTimeout("tcp", v.caller(), time.Second)
 	if err != nil {
@@ -41,8 +46,10 @@
 	defer c.Close()
 	began := time.Now()
 	_ = c.SetDeadline(began.Add(deadline))
-	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Request-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		method, path, host, id, deadline.Milliseconds())
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Request-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+		method, path, host, id, deadline.Milliseconds(), len(body))
+	// An error is found again by reading the answer.
+	_, _ = c.Write(body)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err == nil {
 		var n int64
