Show uploads that servers run after their clients have left

More than a few requests reach a server over half a second after their client has closed its connection.

Seen: clients leave 200 ms after they have sent an unsafe request with a body of 100 kB that waits for a slot. The server's node doesn't watch such a call until it has written it to the server, which runs it.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,6 +23,7 @@
 	"endless": runEndless,
 	"added":   runAdded,
 	"uploads": runUploads,
+	"gone":    runGone,
 }
 
 func main() { os.Exit(run()) }
