--- a/review/lab/timeout.go
+++ b/review/lab/timeout.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -132,11 +133,12 @@
 	}
 }
 
-// runEndless has two of four servers of files in trouble.
+// runEndless has two of four servers of files in trouble for troubleTime.
 func runEndless(l *lab) (bool, error) {
-	const requests, every = 1500, 15 * time.Millisecond
+	const requests, every, troubleTime = 1500, 3300 * time.Microsecond, 5 * time.Second
+	var inTrouble atomic.Bool
 	answerFiles := func(s *server, c net.Conn, r *http.Request) {
-		if trouble && (s.id == "i-1" || s.id == "i-2") {
+		if inTrouble.Load() && (s.id == "i-1" || s.id == "i-2") {
 			answerEndless(s, c, r)
 			return
 		}
@@ -145,6 +147,10 @@
 	if err := startTimeoutLab(l, answerFiles); err != nil {
 		return false, err
 	}
+	if trouble {
+		inTrouble.Store(true)
+		time.AfterFunc(troubleTime, func() { inTrouble.Store(false) })
+	}
 	answers := make([]answer, requests)
 	var clients sync.WaitGroup
 	for i := range answers {
