End the body of a response with its request at the caller's node

Cause: bodyReader.readPart set the stream's deadline to 15 s from now for each part, so that nothing of the request bounded the rest of a body.

--- a/node/proxy/ingress/body.go
+++ b/node/proxy/ingress/body.go
@@ -11,9 +11,6 @@
 	"auburnladder.example/wire/peerpb"
 )
 
-// bodyIdleTimeout limits the time between two parts of a response body.
-const bodyIdleTimeout = 15 * time.Second
-
 var (
 	// errAborted reports that the server's node aborted a response after its head.
 	errAborted = errors.New("response aborted by the server's node")
@@ -63,10 +60,14 @@
 	return n, nil
 }
 
-// readPart reads the next part unless the caller has disconnected or the node is about to exit.
+// readPart reads the next part unless the caller has disconnected, the request has ended or the node
+// is about to exit.
 func (r *bodyReader) readPart() error {
-	r.attempt.stream.SetDeadline(time.Now().Add(bodyIdleTimeout))
+	end := r.attempt.call.end
+	r.attempt.stream.SetDeadline(end)
 	switch {
+	case !time.Now().Before(end):
+		return r.truncated(errDeadline)
 	case r.caller.Err() != nil:
 		return r.truncated(errCallerDisconnected)
 	case r.ending != nil && r.ending.Err() != nil:
--- a/node/proxy/ingress/call.go
+++ b/node/proxy/ingress/call.go
@@ -71,6 +71,8 @@
 	target *mesh.Service
 	// objective is the time until which a response meets the route's latency objective.
 	objective time.Time
+	// end is when the response must have been delivered.
+	end time.Time
 	// traceparent is the trace context of the call and the parent of each attempt's span.
 	traceparent string
 	retry       retry.Call
--- a/node/proxy/ingress/ingress.go
+++ b/node/proxy/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnladder.example/core/lifetime"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/verdict"
@@ -99,6 +100,7 @@
 		target:    target,
 		message:   newCallMessage(x, r.snapshot, m, g.Caller),
 		objective: x.Arrived().Add(m.Route.Objective.Duration()),
+		end:       lifetime.End(r.deadline),
 		retry:     retry.NewCall(&g.Router.Retry, m.Route, g.Router.Budget(target.Name), r.deadline),
 	}
 	c.message.Service = target.Name
