End an answer that never ends, or goes silent, with its call at the server's node

Cause: once the head of a long answer, or of one in chunks or without a length, was there, deliveryContext allowed it ReplyTimeout, 2 s beyond the call's deadline, whatever the caller's node did. The same constant bounded the stream to a caller's node that reads nothing, so that a suspended one kept a server at work, and the reading of request bodies.

Change: the caller's node says when the response must have been delivered (delivery_us; an attempt may have only a part of the request's time, its answer has all of it). Delivering an answer that a server has begun ends then, with the connection to the server and the stream. Complete replies have 400 ms from when they are ready, with the server free already. Config.ReplyTimeout is gone. Nodes of earlier versions don't send the field: their calls end 400 ms after their deadline.

--- a/node/proxy/egress/config.go
+++ b/node/proxy/egress/config.go
@@ -37,10 +37,6 @@
 	// ChunkBytes is the size in bytes of the messages that carry a body longer than
 	// InlineBytes.
 	ChunkBytes int
-	// ReplyTimeout limits the time to send a reply without a streamed body, or the abort
-	// of a body. While a body is streamed, the stream's deadline is ReplyTimeout after
-	// the call's.
-	ReplyTimeout time.Duration
 	// MaxRemaining limits the time that a call may take, whatever its remaining time
 	// says.
 	MaxRemaining time.Duration
@@ -60,7 +56,6 @@
 		InlineBytes:  15 << 10,
 		BufferBytes:  512 << 10,
 		ChunkBytes:   15 << 10,
-		ReplyTimeout: 2 * time.Second,
 		MaxRemaining: 10 * time.Minute,
 		SeenCalls:    8192,
 	}
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"auburnladder.example/core/admission"
+	"auburnladder.example/core/lifetime"
 	"auburnladder.example/core/mesh"
 	"auburnladder.example/core/steady"
 	"auburnladder.example/core/vmlist"
@@ -267,6 +268,7 @@
 func (e *Egress) ServeCall(ctx context.Context, peer peers.Peer, call *peerpb.Call, st *session.Stream) {
 	boot := e.boot()
 	transitDelay := measureTransitDelay(peer, call, boot)
+	deadline, end := e.lifetime(call, transitDelay)
 	x := &exchange{
 		egress:       e,
 		peer:         peer,
@@ -275,7 +277,8 @@
 		maybeStale:   e.pauseDetector.Observe(boot),
 		transitDelay: transitDelay,
 		progress:     make(chan struct{}, 1),
-		deadline:     e.Now().Add(e.remaining(call) - transitDelay),
+		deadline:     deadline,
+		end:          end,
 	}
 	egressStats.Add("calls", 1)
 	span := e.Tracer.Start(tracing.HopEgress, call.GetTraceparent())
@@ -298,9 +301,18 @@
 	return peer.Transit.Excess(time.Duration(call.GetSentUs())*time.Microsecond, now)
 }
 
-// remaining returns the time that the caller allows for the call, limited to
-// MaxRemaining.
-func (e *Egress) remaining(call *peerpb.Call) time.Duration {
-	us := min(call.GetRemainingUs(), uint64(e.cfg.MaxRemaining.Microseconds()))
-	return time.Duration(us) * time.Microsecond
+// lifetime returns the deadline and the end of a call that was on its way for transitDelay longer
+// than usual. Nodes of earlier versions do not say when it ends.
+func (e *Egress) lifetime(call *peerpb.Call, transitDelay time.Duration) (deadline, end time.Time) {
+	arrived := e.Now().Add(-transitDelay)
+	deadline = arrived.Add(e.remaining(call.GetRemainingUs()))
+	if us := call.GetDeliveryUs(); us > 0 {
+		return deadline, arrived.Add(e.remaining(us))
+	}
+	return deadline, lifetime.End(deadline)
+}
+
+// remaining returns a time that the caller allows, limited to MaxRemaining.
+func (e *Egress) remaining(us uint64) time.Duration {
+	return time.Duration(min(us, uint64(e.cfg.MaxRemaining.Microseconds()))) * time.Microsecond
 }
--- a/node/proxy/egress/exchange.go
+++ b/node/proxy/egress/exchange.go
@@ -46,6 +46,8 @@
 	call     *peerpb.Call
 	stream   *session.Stream
 	deadline time.Time
+	// end is when the response must have been delivered.
+	end time.Time
 	// caller ends when the caller's node ends the stream.
 	caller context.Context
 	// objective is the time by which the response should arrive. A later response is of
@@ -238,7 +240,8 @@
 	defer fasthttp.ReleaseRequest(req)
 	var body io.Reader
 	if x.call.GetMore() {
-		x.extendStreamDeadline()
+		// The call's own deadline, which expires first, determines the outcome.
+		x.boundStream(x.end)
 		x.body = &requestBody{stream: x.stream, pending: x.call.GetBody(), received: uint64(len(x.call.GetBody()))}
 		body = x.body
 	}
@@ -312,20 +315,18 @@
 	}
 }
 
-// interrupt ends blocked reads and writes on the connection and, while the request body
-// is being received, on the stream.
-func (x *exchange) interrupt(conn *serverConn, uploading bool) {
+// interrupt ends blocked reads and writes on the connection and, while a body passes through it,
+// on the stream.
+func (x *exchange) interrupt(conn *serverConn, streaming bool) {
 	_ = conn.SetDeadline(pastDeadline)
-	if uploading {
+	if streaming {
 		x.stream.SetDeadline(pastDeadline)
 	}
 }
 
-// extendStreamDeadline sets the stream's deadline ReplyTimeout after the call's, so that
-// the call's own deadline expires first and determines the outcome.
-func (x *exchange) extendStreamDeadline() {
-	remaining := x.deadline.Sub(x.egress.Now())
-	x.stream.SetDeadline(time.Now().Add(remaining + x.egress.cfg.ReplyTimeout))
+// boundStream sets the deadline of the stream to a time of the egress's clock.
+func (x *exchange) boundStream(until time.Time) {
+	x.stream.SetDeadline(time.Now().Add(until.Sub(x.egress.Now())))
 }
 
 // connectRefusal returns the refusal for a failure to get a connection to the server.
--- a/node/proxy/egress/reply.go
+++ b/node/proxy/egress/reply.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"time"
 
 	"auburnladder.example/core/admission"
+	"auburnladder.example/core/lifetime"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/wire/peerpb"
 )
@@ -26,7 +26,7 @@
 	if !x.call.GetMore() || x.body != nil {
 		return
 	}
-	x.extendStreamDeadline()
+	x.boundStream(x.end)
 	if _, err := io.Copy(io.Discard, &requestBody{stream: x.stream}); err != nil {
 		x.egress.Log.Debug().Err(err).Str("event", "body-not-skipped").Msg("reading the body of a refused call failed")
 	}
@@ -63,19 +63,33 @@
 // abort notifies the caller's node that the response body is incomplete.
 func (x *exchange) abort(err error) error {
 	egressStats.Add("aborted", 1)
-	x.stream.SetDeadline(time.Now().Add(x.egress.cfg.ReplyTimeout))
+	x.boundStream(lifetime.SendEnd(x.end, x.egress.Now()))
 	if sendErr := x.stream.Send(&peerpb.Body{Aborted: true, Last: true}); sendErr != nil {
 		return errors.Join(err, sendErr)
 	}
 	return err
 }
 
-// sendReply completes r with the call's ID and the server's load, and sends it.
+// sendReply sends a complete reply, also if it is ready late.
 func (x *exchange) sendReply(r *peerpb.Reply) {
+	x.boundStream(lifetime.SendEnd(x.end, x.egress.Now()))
+	x.send(r)
+}
+
+// beginReply sends the head of a response whose body follows, once. All of it must be sent before
+// the end of the call.
+func (x *exchange) beginReply(head *peerpb.Reply) {
+	if !x.replySent {
+		x.boundStream(x.end)
+		x.send(head)
+	}
+}
+
+// send completes r with the call's ID and the server's load, and sends it.
+func (x *exchange) send(r *peerpb.Reply) {
 	r.Id = x.call.GetId()
 	r.Load = x.egress.Load()
 	x.replySent = true
-	x.stream.SetDeadline(time.Now().Add(x.egress.cfg.ReplyTimeout))
 	if err := x.stream.Send(r); err != nil {
 		x.egress.Log.Debug().Err(err).Str("event", "reply-lost").Msg("reply could not be sent to the caller's node")
 	}
--- a/node/proxy/egress/response.go
+++ b/node/proxy/egress/response.go
@@ -104,21 +104,21 @@
 	return data, nil
 }
 
-// deliveryContext returns a context for sending a response that the server has given: it ends
-// when the caller's node ends the stream, or ReplyTimeout after the deadline.
+// deliveryContext returns a context for sending a response that the server has given or begun: it
+// ends when the caller's node ends the stream, or at the end of the call.
 func (x *exchange) deliveryContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(x.caller, x.deadline.Sub(x.egress.Now())+x.egress.cfg.ReplyTimeout)
+	return context.WithTimeout(x.caller, x.end.Sub(x.egress.Now()))
 }
 
 // relayUnbuffered relays a response that is too long to be held, or of unknown length. The deadline
-// does not end it any more, as the server has given its response.
+// does not end it any more, as the server has begun its response; the end of the call does.
 func (x *exchange) relayUnbuffered(ctx context.Context, conn *serverConn, resp *fasthttp.Response, head *peerpb.Reply, body io.Reader, stop func() bool) (verdict.Verdict, error) {
 	if !stop() {
 		return x.fail(ctx, conn, ctx.Err())
 	}
 	delivery, cancel := x.deliveryContext()
 	defer cancel()
-	stop = context.AfterFunc(delivery, func() { x.interrupt(conn, false) })
+	stop = context.AfterFunc(delivery, func() { x.interrupt(conn, true) })
 	defer stop()
 	err := x.relayStreaming(delivery, conn, resp, head, body, stop)
 	switch {
--- a/node/proxy/egress/transfer.go
+++ b/node/proxy/egress/transfer.go
@@ -49,6 +49,10 @@
 		return err
 	}
 	x.beginReply(head)
+	if ctx.Err() != nil {
+		// What interrupted the stream may have done so before its deadline was set.
+		return ctx.Err()
+	}
 	if err := x.stream.Send(part); err != nil {
 		return fmt.Errorf("%w: %w", errCallerEndedCall, err)
 	}
@@ -65,14 +69,6 @@
 	return nil
 }
 
-// beginReply sends the head of a response whose body follows, once.
-func (x *exchange) beginReply(head *peerpb.Reply) {
-	if !x.replySent {
-		x.sendReply(head)
-		x.extendStreamDeadline()
-	}
-}
-
 // awaitConfirmation waits until the caller's node has confirmed all bytes or ended the
 // stream, for at most StallAfter.
 func (x *exchange) awaitConfirmation(ctx context.Context) {
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -132,6 +132,7 @@
 	msg := a.call.message
 	msg.Attempt = uint32(a.call.retry.Attempts() + 1)
 	msg.RemainingUs = uint64(max(0, (time.Until(a.deadline) - refusalMargin).Microseconds()))
+	msg.DeliveryUs = uint64(max(0, (time.Until(a.call.end) - refusalMargin).Microseconds()))
 	msg.ObjectiveUs = time.Until(a.call.objective).Microseconds()
 	msg.Instance = a.endpoint.Run.Instance
 	msg.SentUs = steady.Boot().Microseconds()
