Bound the wait for another node's session by the sender's own deadline

Cause: all streams of a session share its connection. Once the queue of the connection was full, its Write waited, in yamux's sending goroutine, and every sender, also one that only closes or opens a stream, waited for 6 s in yamux, which knows no deadline there. So did the refusal of the next attempt, as closing the stream of the last one waited as well.

Senders of data wait for room in the queue before they write, in the order in which they came, in parts of 16 KiB, until the deadline of their stream, which may be set while they wait.

Ruled out: a goroutine for each write (a copy and a wake-up for each message, or a race between the check and the write); a hook in yamux, which has none.

Two tests of the queue called Write where it waited; they now acquire room and write, as streams do, with the same checks.

--- a/node/proxy/ingress/congested_test.go
+++ b/node/proxy/ingress/congested_test.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"auburnladder.example/core/lifetime/lifetimetest"
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	. "github.com/smartystreets/goconvey/convey"
@@ -55,3 +57,42 @@
 		So(took, ShouldBeLessThan, deadline)
 	})
 }
+
+// Guards against requests that wait for 6 s to send their bodies to a node that reads nothing.
+func TestUploadToASilentNodeEndsWithItsRequest(t *testing.T) {
+	Convey("Requests whose bodies another node does not read get 504 in time, and the next one is refused at once", t, func() {
+		near, far := net.Pipe()
+		defer far.Close()
+		ses, err := session.Client(near, session.DefaultConfig())
+		So(err, ShouldBeNil)
+		f := newPublishedFleet(t, replyOK)
+		f.ingress.Sessions = oneSession{ses}
+		body := strings.Repeat("b", 1<<20)
+		var callers conc.WaitGroup
+		const uploads = 6 // more than the queue of the session holds
+		type result struct {
+			status int
+			late   time.Duration
+		}
+		results := make(chan result, uploads)
+		for range uploads {
+			callers.Go(func() {
+				watch := lifetimetest.Start()
+				status, _ := f.status(http.MethodPost, "/book/1", body, "X-Left: 300")
+				results <- result{status, watch.Late(shortTimeout)}
+			})
+		}
+		callers.Wait()
+		waited := 0
+		for range uploads {
+			r := <-results
+			So(r.late, ShouldEqual, 0)
+			if r.status == http.StatusGatewayTimeout {
+				waited++
+			}
+		}
+		So(waited, ShouldBeGreaterThan, 0)
+		f.close()
+		ses.Close()
+	})
+}
--- a/wire/session/large.go
+++ b/wire/session/large.go
@@ -9,8 +9,7 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// largePartBytes is the size of the parts in which a large message is written. Each part has the
-// time of Config.WriteTimeout on its connection, which other sessions of the link share.
+// largePartBytes is the size of the parts of a large message that have a time of their own.
 const largePartBytes = 32 << 10
 
 // SendLarge writes one message of at most limit bytes. It fails if the other end takes no part of it
@@ -47,7 +46,7 @@
 	written := 0
 	for written < len(p) {
 		w.stream.SetWriteDeadline(time.Now().Add(w.idle))
-		n, err := w.stream.mux.Write(p[written:min(len(p), written+largePartBytes)])
+		n, err := streamWriter{w.stream}.Write(p[written:min(len(p), written+largePartBytes)])
 		written += n
 		if err != nil {
 			return written, err
--- a/wire/session/queue_test.go
+++ b/wire/session/queue_test.go
@@ -13,6 +13,17 @@
 	"github.com/sourcegraph/conc"
 )
 
+// sendOn waits for room on c and writes p, as a stream does.
+func sendOn(c *queuedConn, p []byte) error {
+	room, err := c.acquire(len(p), &sendDeadline{most: time.Minute})
+	if err != nil {
+		return err
+	}
+	defer c.release(room)
+	_, err = c.Write(p)
+	return err
+}
+
 // Guards against bytes that are lost, doubled or reordered between a direct write and the queue.
 func TestQueuedBytesKeepTheirOrder(t *testing.T) {
 	Convey("All bytes arrive in order whether the other end reads or not, also those queued at Close", t, func() {
@@ -51,7 +62,7 @@
 		var writer conc.WaitGroup
 		writer.Go(func() {
 			for {
-				if _, err := c.Write(make([]byte, 64<<10)); err != nil {
+				if sendOn(c, make([]byte, 64<<10)) != nil {
 					return
 				}
 			}
@@ -106,7 +117,7 @@
 			queues = append(queues, c)
 			writers.Go(func() {
 				for {
-					if _, err := c.Write(make([]byte, part)); err != nil {
+					if sendOn(c, make([]byte, part)) != nil {
 						return
 					}
 				}
--- a/wire/session/session.go
+++ b/wire/session/session.go
@@ -28,9 +28,9 @@
 	ProbeInterval time.Duration
 	// ProbeTimeout is how long a probe waits for its response. Default 2 s.
 	ProbeTimeout time.Duration
-	// WriteTimeout is how long a write may wait while the queue of the connection is full. A write
-	// that takes longer may end the session. It should be no shorter than the probes take to find an
-	// unresponsive connection. Default 6 s.
+	// WriteTimeout is how long a message whose stream has no deadline may wait while the queue of the
+	// connection is full. It should be no shorter than the probes take to find an unresponsive
+	// connection. Default 6 s.
 	WriteTimeout time.Duration
 	// FailedProbes is the number of successive probes without a response and without any other
 	// byte from the peer after which the session is closed as unresponsive. With 1, a node that
@@ -73,6 +73,8 @@
 	mux   *yamux.Session
 	conn  *coalescingConn
 	queue *queuedConn
+	// writeTimeout is Config.WriteTimeout.
+	writeTimeout time.Duration
 	// unresponsive is set when the probes have closed the session.
 	unresponsive atomic.Bool
 }
@@ -102,7 +104,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start session: %w", err)
 	}
-	s := &Session{mux: mux, conn: coalescing}
+	s := &Session{mux: mux, conn: coalescing, writeTimeout: cfg.WriteTimeout}
 	go s.probe(cfg)
 	return s, nil
 }
@@ -130,7 +132,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("open stream: %w", err)
 	}
-	return &Stream{mux: st}, nil
+	return s.newStream(st), nil
+}
+
+// newStream returns the stream for one of the multiplexer.
+func (s *Session) newStream(st *yamux.Stream) *Stream {
+	return &Stream{mux: st, queue: s.queue, sending: sendDeadline{most: s.writeTimeout}}
 }
 
 // Accept waits for the next stream that the other end opens. It returns an error once the
@@ -143,13 +150,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Stream{mux: st}, nil
+	return s.newStream(st), nil
 }
 
 // Exchange sends req on a new stream and reads one message into reply. The deadline of ctx
 // applies to the stream, and the end of ctx interrupts it.
 func (s *Session) Exchange(ctx context.Context, req *peerpb.Request, reply proto.Message) error {
-	stream, err := s.Open(req)
+	stream, err := s.OpenStream()
 	if err != nil {
 		return err
 	}
@@ -159,6 +166,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(pastDeadline) })
 	defer stop()
+	if err := stream.Send(req); err != nil {
+		return err
+	}
 	return stream.Recv(reply)
 }
 
@@ -188,14 +198,52 @@
 	return s.mux.NumStreams()
 }
 
-// Stream is one sequence of messages in each direction.
+// Stream is one sequence of messages in each direction. One goroutine at a time may send, and one
+// receive.
 type Stream struct {
 	mux *yamux.Stream
+	// queue is the queue of the session; nil if it has none.
+	queue   *queuedConn
+	sending sendDeadline
 }
 
-// Send writes one message.
+// Send writes one message. It waits while the peer takes no more bytes of the stream or of the
+// session, until the stream's deadline.
 func (s *Stream) Send(m proto.Message) error {
-	return frame.Write(s.mux, m)
+	return frame.Write(streamWriter{s}, m)
+}
+
+// maxPartBytes is the size of the parts in which the bytes of a stream are written. Streams that wait
+// for the same session take turns after each.
+const maxPartBytes = maxCoalescedBytes
+
+// streamWriter writes the encoded messages of a stream.
+type streamWriter struct{ *Stream }
+
+// Write implements io.Writer.
+func (w streamWriter) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		n, err := w.writePart(p[written:min(len(p), written+maxPartBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// writePart writes one part once the queue of the session has room for it.
+func (s *Stream) writePart(p []byte) (int, error) {
+	if s.queue == nil {
+		return s.mux.Write(p)
+	}
+	room, err := s.queue.acquire(len(p), &s.sending)
+	if err != nil {
+		return 0, err
+	}
+	defer s.queue.release(room)
+	return s.mux.Write(p)
 }
 
 // Recv reads one message. It returns io.EOF after the other end closed its side.
@@ -213,20 +261,21 @@
 	return !errors.Is(err, ErrTimeout)
 }
 
-// SetDeadline bounds all later reads and writes.
+// SetDeadline bounds all reads and writes, also those in progress.
 func (s *Stream) SetDeadline(t time.Time) {
-	// SetDeadline of a yamux stream always returns nil.
-	_ = s.mux.SetDeadline(t)
+	s.SetReadDeadline(t)
+	s.SetWriteDeadline(t)
 }
 
-// SetReadDeadline bounds all later reads.
+// SetReadDeadline bounds all reads, also one in progress.
 func (s *Stream) SetReadDeadline(t time.Time) {
 	// SetReadDeadline of a yamux stream always returns nil.
 	_ = s.mux.SetReadDeadline(t)
 }
 
-// SetWriteDeadline bounds all later writes.
+// SetWriteDeadline bounds all writes, also one in progress.
 func (s *Stream) SetWriteDeadline(t time.Time) {
+	s.sending.set(t)
 	// SetWriteDeadline of a yamux stream always returns nil.
 	_ = s.mux.SetWriteDeadline(t)
 }
