Let the peer of a test notice that its stream has ended

The peer of TestBodyEndsWithItsRequest that sends without end did not read its stream, as the real one does, so that it noticed the end of the request only when yamux reset the stream after a minute; the test was 59.9 s late in one run. It reads now, and sends until then. The check is the same.

--- a/node/proxy/ingress/lifetime_test.go
+++ b/node/proxy/ingress/lifetime_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"auburnladder.example/wire/peerpb"
 	"auburnladder.example/wire/session"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
 )
 
 // shortTimeout is the time of the requests whose end is tested.
@@ -21,12 +23,20 @@
 	awaitEnd(st)
 }
 
-// endlessParts sends parts of an answer until the stream ends, or the test has failed.
+// endlessParts sends parts of an answer until the stream ends.
 func endlessParts(_ *link, call *peerpb.Call, st *session.Stream) {
 	sendParts(call, st, nil, bodyPart)
-	for end := time.Now().Add(waitTimeout); time.Now().Before(end) && st.Send(&peerpb.Body{Data: []byte("more")}) == nil; {
-		time.Sleep(time.Millisecond)
-	}
+	var sender conc.WaitGroup
+	defer sender.Wait()
+	defer func() { st.SetDeadline(time.Unix(1, 0)) }()
+	var ended atomic.Bool
+	defer ended.Store(true)
+	sender.Go(func() {
+		for !ended.Load() && st.Send(&peerpb.Body{Data: []byte("more")}) == nil {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	awaitEnd(st)
 }
 
 // awaitEnd waits until the ingress closes the stream.
