End the waits for a caller with its request

What callers saw: nothing of their own; a caller that goes silent in the midst of its body was waited for 30 s, and one that does not read its answer for 10 minutes, with the server's node, and the server, waiting behind it.

Change: once the head is there, its route's deadline bounds reading the body: 408, not run. A response may be written until the end of its request, and for 400 ms if it is ready, or its turn comes, later. WriteTimeout is gone. A body that is there already costs no second look at the routes.

--- a/node/callerhttp/body.go
+++ b/node/callerhttp/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -34,6 +35,20 @@
 	}
 }
 
+// hasBody reports whether a body follows the head of x.
+func (x *Exchange) hasBody() bool { return x.Request.Header.ContentLength() > 0 || chunked(x) }
+
+// boundBody ends reading the body of x when its caller stops waiting, unless all of it is there.
+func (c *conn) boundBody(x *Exchange) {
+	if size := x.Request.Header.ContentLength(); !x.hasBody() || size > 0 && c.br.Buffered() >= size {
+		return
+	}
+	deadline := c.server.handler.BodyDeadline(x)
+	if !deadline.IsZero() && time.Until(deadline) < c.server.cfg.ReadTimeout {
+		c.setReadDeadline(deadline)
+	}
+}
+
 // chunked reports whether x has a body of unknown length.
 func chunked(x *Exchange) bool {
 	const lengthOfChunked = -1 // of fasthttp; another negative one means no body
--- a/node/callerhttp/callerhttp_test.go
+++ b/node/callerhttp/callerhttp_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"auburnladder.example/core/lifetime/lifetimetest"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
 )
@@ -224,11 +225,14 @@
 		r.waitFor("cancellation", func() bool { return r.hasLeft("/hold/1") })
 		r.close()
 	})
-	Convey("A caller that does not read its response is cut off after the write timeout, and its other requests are cancelled", t, func() {
-		r := newRig(t, func(cfg *Config) { cfg.WriteTimeout = 50 * time.Millisecond })
+	Convey("A caller that does not read its response is cut off at the end of its request, and its other requests are cancelled", t, func() {
+		r := newRig(t)
+		r.timeout = time.Second
 		c := r.dial()
+		watch := lifetimetest.Start()
 		c.get("/flood/1", "/hold/2")
 		r.waitFor("cancellation", func() bool { return r.hasLeft("/hold/2") })
+		So(watch.Late(r.timeout), ShouldEqual, 0)
 		c.Close()
 		r.close()
 	})
--- a/node/callerhttp/conn.go
+++ b/node/callerhttp/conn.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnladder.example/core/lifetime"
 	"auburnladder.example/core/steady"
 	"auburnladder.example/core/target"
 	"github.com/sourcegraph/conc"
@@ -110,7 +111,7 @@
 	defer c.finish()
 	for c.awaitRoom() && c.awaitRequest() {
 		x, err := c.readRequest()
-		c.bodyUnread = errors.Is(err, ErrNoRoom) || errors.Is(err, fasthttp.ErrBodyTooLarge)
+		c.bodyUnread = errors.Is(err, ErrNoRoom) || errors.Is(err, fasthttp.ErrBodyTooLarge) || x.hasBody() && isTimeout(err)
 		if err != nil && c.callerLeft(err) {
 			releaseExchange(x)
 			return
@@ -278,6 +279,7 @@
 			return x, err
 		}
 	}
+	c.boundBody(x)
 	if err := c.readBody(x); err != nil {
 		return x, err
 	}
@@ -293,6 +295,7 @@
 			return io.EOF
 		}
 	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(lifetime.DeliveryTime))
 	if _, err := c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return err
 	}
--- a/node/callerhttp/panic_test.go
+++ b/node/callerhttp/panic_test.go
@@ -18,6 +18,8 @@
 func (panicking) Reject(x *Exchange, _ error) {}
 func (panicking) IdleTimeout() time.Duration  { return 0 }
 
+func (panicking) BodyDeadline(*Exchange) time.Time { return time.Time{} }
+
 func (panicking) Stopping() bool      { return false }
 func (panicking) Concurrent() bool    { return true }
 func (panicking) Deadline() time.Time { return time.Now().Add(time.Hour) }
--- a/node/callerhttp/rig_test.go
+++ b/node/callerhttp/rig_test.go
@@ -89,6 +89,8 @@
 
 func (r *rig) MaxBodyBytes() int { return int(r.maxBody.Load()) }
 
+func (r *rig) BodyDeadline(x *Exchange) time.Time { return x.Arrived().Add(r.timeout) }
+
 func (r *rig) IdleTimeout() time.Duration { return time.Duration(r.idle.Load()) }
 
 func (r *rig) Stopping() bool { return r.stopping.Load() }
--- a/node/callerhttp/run.go
+++ b/node/callerhttp/run.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"time"
 
+	"auburnladder.example/core/lifetime"
 	"auburnladder.example/core/steady"
 	"github.com/valyala/fasthttp"
 )
@@ -148,7 +149,7 @@
 		c.wake()
 	}
 	setFraming(x, final)
-	_ = c.nc.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout))
+	_ = c.nc.SetWriteDeadline(lifetime.SendEnd(lifetime.End(x.task.Deadline()), time.Now()))
 	err := x.Response.Write(c.bw)
 	if err == nil {
 		err = c.bw.Flush()
--- a/node/callerhttp/server.go
+++ b/node/callerhttp/server.go
@@ -44,8 +44,6 @@
 	Bodies *budget.Budget
 	// ReadTimeout limits the time from the first byte of a request to its last one.
 	ReadTimeout time.Duration
-	// WriteTimeout limits the time in which a caller takes a response.
-	WriteTimeout time.Duration
 	// IdleTimeout is how long a connection without a request is kept, unless the handler knows
 	// better. Longer saves connection set-ups, shorter saves memory.
 	IdleTimeout time.Duration
@@ -63,7 +61,6 @@
 		MaxPipelinedBytes: 1 << 20,
 		MaxWaiting:        512,
 		ReadTimeout:       30 * time.Second,
-		WriteTimeout:      10 * time.Minute,
 		IdleTimeout:       2 * time.Minute,
 		LingerTimeout:     time.Second,
 	}
@@ -74,6 +71,9 @@
 	// MaxBodyBytes returns the largest request body in bytes. It is called on the reading
 	// goroutine for each request that has a body.
 	MaxBodyBytes() int
+	// BodyDeadline returns when the caller of a request stops waiting whose body is still to come, or
+	// the zero time if that is not known. It is called on the reading goroutine.
+	BodyDeadline(x *Exchange) time.Time
 	// IdleTimeout returns how long a connection without a request is kept; 0 selects that of the
 	// Config. Callers may send a request within that time, so it is never closed sooner. It is called
 	// on the reading goroutine for each request.
@@ -96,7 +96,8 @@
 	// not idempotent.
 	Concurrent() bool
 	// Deadline is when the caller stops waiting. A request that still waits for earlier ones
-	// then is run at once, so that it can be refused.
+	// then is run at once, so that it can be refused. A caller that has not taken the response at
+	// the end of the request (package lifetime) is cut off.
 	Deadline() time.Time
 	// Run sets the response. It is called at most once, on a goroutine of the request.
 	Run()
--- a/node/proxy/ingress/request.go
+++ b/node/proxy/ingress/request.go
@@ -25,7 +25,19 @@
 }
 
 // Accept implements callerhttp.Handler.
-func (g *Ingress) Accept(x *callerhttp.Exchange) callerhttp.Task {
+func (g *Ingress) Accept(x *callerhttp.Exchange) callerhttp.Task { return g.newRequest(x) }
+
+// BodyDeadline implements callerhttp.Handler.
+func (g *Ingress) BodyDeadline(x *callerhttp.Exchange) time.Time {
+	if r := g.newRequest(x); r.match != nil {
+		return r.deadline
+	}
+	return time.Time{}
+}
+
+// newRequest returns the request of x, of which the head was read, as the configuration in force
+// treats it.
+func (g *Ingress) newRequest(x *callerhttp.Exchange) *request {
 	r := &request{ingress: g, exchange: x, snapshot: g.State.Snapshot(), deadline: x.Arrived()}
 	if r.snapshot == nil {
 		return r
