Reset the connection of a call that was given up, so that its server notices

What was seen: the new end-to-end test found a server that was still at work 13.7 s after the bound on an upload of which it had read only a part.

Cause: closing a connection sends its end behind all bytes that are on the way. A server that does not read them does not learn that the request was given up.

Change: a call that ends without a complete response resets its connection. Complete ones are closed, or kept, as before.

--- a/e2e/harness/store.go
+++ b/e2e/harness/store.go
@@ -54,6 +54,9 @@
 // Address returns the VM's address with the given port, as "IP:port".
 func (v *StoreVM) Address(port int) string { return fmt.Sprintf("%s:%d", v.IP, port) }
 
+// CallerAddress returns where the VM's node takes requests of callers.
+func (v *StoreVM) CallerAddress() string { return v.Address(storeCallerPort) }
+
 // peerAddress is where the VM's node listens for peers.
 func (v *StoreVM) peerAddress() string { return fmt.Sprintf("%s:%d", v.host, storePeerPort) }
 
--- a/node/proxy/egress/reply.go
+++ b/node/proxy/egress/reply.go
@@ -35,6 +35,7 @@
 // fail ends a call whose request may have reached the server. It replies that the call
 // may have run, or aborts a reply that was already begun.
 func (x *exchange) fail(ctx context.Context, conn *serverConn, err error) (verdict.Verdict, error) {
+	conn.resetOnClose()
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		err = fmt.Errorf("no complete response before the deadline: %w", err)
 		x.egress.pool.discardUnresponsive(conn)
--- a/node/proxy/egress/server_conn.go
+++ b/node/proxy/egress/server_conn.go
@@ -58,6 +58,14 @@
 	c.bw.Reset(c)
 }
 
+// resetOnClose makes Close reset the connection. The server then learns at once that its request was
+// given up, also if it has not read all of it; the end of the connection would lie behind that.
+func (c *serverConn) resetOnClose() {
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // usable reports whether an idle connection is open and has no data to read. Unsolicited
 // data would be taken for the next response.
 func (c *serverConn) usable() bool {
