Bound the memory of responses to callers without chunked encoding

Cause: bufferBody read a streamed response whole to know its length.

Change: such a response is read ahead as far as the budget of buffered responses goes. If it is complete by then, it has a length as before. Otherwise it is passed on as it comes and ends with the connection, which is reset unless the response is complete, also if the process is killed, so that a part never looks whole. Nothing is read behind a request of HTTP/1.0 before it is answered. What is reserved for requests and responses shares one type.

Others that were looked at, at full speed, with HTTP/1.0 and HTTP/1.1 at once: status line, head, interim responses, chunk sizes, chunk extensions, chunks, trailers, bodies with and without a length. Answers to the node's own requests (drain path, stop path) and of the store have limits of size already.

TestResponsesOfUnknownLengthAreBounded: a long answer arrives whole, one that breaks off is a reset connection, the budget is kept.

--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -54,6 +55,21 @@
 	return p.cmd.Process.Pid
 }
 
+// PeakMemory returns the largest resident size of the process so far, in bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, fmt.Errorf("process %s: %w", p.Name, err)
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10, nil
+		}
+	}
+	return 0, fmt.Errorf("process %s: its status has no peak size", p.Name)
+}
+
 // Signal sends a signal to the process. It does nothing if the process has exited.
 func (p *Process) Signal(sig syscall.Signal) error {
 	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
--- a/node/callerhttp/body.go
+++ b/node/callerhttp/body.go
@@ -55,22 +55,14 @@
 	return x.Request.Header.ContentLength() == lengthOfChunked
 }
 
-// reserve takes n bytes of the budget for x, until x is released.
+// reserve takes n bytes of the budget of request bodies for x, until x is released.
 func (c *conn) reserve(x *Exchange, n int) error {
-	b := c.server.cfg.Bodies
-	if !b.Reserve(int64(n)) {
+	if !x.body.reserve(c.server.cfg.Bodies, n) {
 		return ErrNoRoom
 	}
-	x.bodies, x.reserved = b, x.reserved+int64(n)
 	return nil
 }
 
-// unreserve gives back n bytes that were reserved for x.
-func (x *Exchange) unreserve(n int64) {
-	x.bodies.Release(n)
-	x.reserved -= n
-}
-
 // readBody reads the body of x, for which reserveBody was called.
 func (c *conn) readBody(x *Exchange) error {
 	req := &x.Request
@@ -126,7 +118,7 @@
 	}
 	larger := make([]byte, len(body), 2*old)
 	copy(larger, body)
-	x.unreserve(int64(old))
+	x.body.release(old)
 	return larger, nil
 }
 
--- a/node/callerhttp/conn.go
+++ b/node/callerhttp/conn.go
@@ -53,6 +53,9 @@
 	// read. They belong to the reading goroutine.
 	accepted time.Time
 	requests int
+	// serial is set if the latest request has a protocol version whose responses may have to end the
+	// connection: nothing is read behind it before it is answered. It belongs to the reading goroutine.
+	serial bool
 	// bodyUnread is set when a request was refused before its body was read. It belongs to the
 	// reading goroutine.
 	bodyUnread bool
@@ -141,7 +144,7 @@
 func (c *conn) hasRoom() bool {
 	cfg := &c.server.cfg
 	count, bytes := c.pipeline.load()
-	return count == 0 || count < cfg.MaxPipelined && bytes < cfg.MaxPipelinedBytes && c.server.waiting.Load() < cfg.MaxWaiting
+	return count == 0 || !c.serial && count < cfg.MaxPipelined && bytes < cfg.MaxPipelinedBytes && c.server.waiting.Load() < cfg.MaxWaiting
 }
 
 // awaitAnswer waits, without reading, until a response is complete. It returns false if the
@@ -266,6 +269,7 @@
 	if err := req.Header.Read(c.br); err != nil {
 		return x, err
 	}
+	c.serial = !req.Header.IsHTTP11()
 	var err error
 	if x.Target, err = target.Parse(string(req.Header.Method()), string(req.Header.RequestURI()), string(req.Header.Host())); err != nil {
 		return x, err
--- a/node/callerhttp/exchange.go
+++ b/node/callerhttp/exchange.go
@@ -26,9 +26,12 @@
 	task    Task
 	// size is the size of the request in bytes.
 	size int
-	// reserved is the number of bytes of bodies that are reserved for the body.
-	reserved int64
-	bodies   *budget.Budget
+	// body is what is reserved for the body of the request.
+	body reservation
+	// ahead is the part of the response's body that was read ahead, of a body that has no length, and
+	// buffered what is reserved for it.
+	ahead    []byte
+	buffered reservation
 	// closes is set if the connection closes after this response.
 	closes bool
 	position
@@ -62,10 +65,39 @@
 func releaseExchange(x *Exchange) {
 	x.Request.Reset()
 	x.Response.Reset()
-	x.unreserve(x.reserved)
-	x.ctx, x.nc, x.task, x.bodies, x.arrived = nil, nil, nil, nil, time.Time{}
+	x.body.releaseAll()
+	x.buffered.releaseAll()
+	x.ahead = nil
+	x.ctx, x.nc, x.task, x.arrived = nil, nil, nil, time.Time{}
 	x.size, x.closes = 0, false
 	x.Target = target.Target{}
 	x.position = position{}
 	exchangePool.Put(x)
 }
+
+// reservation is what is reserved of a budget.
+type reservation struct {
+	budget *budget.Budget
+	bytes  int64
+}
+
+// reserve takes n more bytes of b, the only budget of the reservation, or returns false.
+func (r *reservation) reserve(b *budget.Budget, n int) bool {
+	if !b.Reserve(int64(n)) {
+		return false
+	}
+	r.budget, r.bytes = b, r.bytes+int64(n)
+	return true
+}
+
+// release gives back n of the bytes.
+func (r *reservation) release(n int) {
+	r.budget.Release(int64(n))
+	r.bytes -= int64(n)
+}
+
+// releaseAll gives back all of the bytes.
+func (r *reservation) releaseAll() {
+	r.budget.Release(r.bytes)
+	*r = reservation{}
+}
--- a/node/callerhttp/http.go
+++ b/node/callerhttp/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"syscall"
 
@@ -13,30 +12,12 @@
 // setFraming sets the headers of a response that depend on the connection and on the protocol
 // version of the request. final says that the connection closes after the response.
 func setFraming(x *Exchange, final bool) {
-	x.Response.SkipBody = x.Request.Header.IsHead()
-	old := !x.Request.Header.IsHTTP11()
 	switch {
 	case final:
 		x.Response.SetConnectionClose()
-	case old:
+	case !x.Request.Header.IsHTTP11():
 		x.Response.Header.Set(fasthttp.HeaderConnection, "keep-alive")
 	}
-	if old && x.Response.IsBodyStream() {
-		bufferBody(&x.Response)
-	}
-}
-
-// bufferBody reads a streamed body completely, for a caller that does not know chunked
-// encoding. If the stream fails, the response becomes status 502.
-func bufferBody(resp *fasthttp.Response) {
-	body, err := io.ReadAll(resp.BodyStream())
-	_ = resp.CloseBodyStream()
-	if err != nil {
-		resp.Reset()
-		resp.SetStatusCode(fasthttp.StatusBadGateway)
-		return
-	}
-	resp.SetBodyRaw(body)
 }
 
 // isTimeout reports whether err is an expired deadline.
--- a/node/callerhttp/lifetime_test.go
+++ b/node/callerhttp/lifetime_test.go
@@ -1,11 +1,15 @@
 package callerhttp
 
 import (
+	"io"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"auburnladder.example/core/lifetime/lifetimetest"
+	"auburnladder.example/node/budget"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -59,3 +63,56 @@
 		r.close()
 	})
 }
+
+// http10 sends a GET request of HTTP/1.0 on a new connection and returns the connection.
+func (r *rig) http10(path string) *caller {
+	c := r.dial()
+	c.send("GET " + path + " HTTP/1.0\r\nHost: a.example\r\nConnection: keep-alive\r\n\r\n")
+	return c
+}
+
+// Guards against a node that holds answers without end in its memory, for callers that don't know chunked encoding.
+func TestResponsesOfUnknownLengthAreBounded(t *testing.T) {
+	const room = 256 << 10
+	responses := budget.New("test_responses", room)
+	limited := func(cfg *Config) { cfg.Responses = responses }
+	Convey("A caller with HTTP/1.0 gets", t, func() {
+		r := newRig(t, limited)
+		Convey("a long answer whole, to the end of its connection", func() {
+			c := r.http10("/flood/1")
+			resp, err := http.ReadResponse(c.br, nil)
+			So(err, ShouldBeNil)
+			So(resp.ContentLength, ShouldEqual, -1)
+			So(resp.TransferEncoding, ShouldBeEmpty)
+			So(responses.Used(), ShouldBeLessThanOrEqualTo, room)
+			received, err := io.Copy(io.Discard, resp.Body)
+			So(err, ShouldBeNil)
+			So(received, ShouldEqual, floodBytes)
+			c.Close()
+		})
+		Convey("a connection that is reset if a long answer breaks off, so that it does not look complete", func() {
+			held, _ := responses, responses.Reserve(room)
+			c := r.http10("/cut/1")
+			resp, err := http.ReadResponse(c.br, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			So(err, ShouldNotBeNil)
+			So(strings.Contains(err.Error(), syscall.ECONNRESET.Error()), ShouldBeTrue)
+			held.Release(room)
+			c.Close()
+		})
+		Convey("what lies behind a long answer unanswered and not run", func() {
+			c := r.dial()
+			c.send("GET /flood/1 HTTP/1.0\r\nHost: a.example\r\nConnection: keep-alive\r\n\r\nGET /now/2 HTTP/1.0\r\nHost: a.example\r\n\r\n")
+			resp, err := http.ReadResponse(c.br, nil)
+			So(err, ShouldBeNil)
+			received, _ := io.Copy(io.Discard, resp.Body)
+			So(received, ShouldEqual, floodBytes)
+			c.Close()
+			So(r.hasStarted("/now/2"), ShouldBeFalse)
+		})
+		r.close()
+		So(responses.Used(), ShouldEqual, 0)
+	})
+}
--- a/node/callerhttp/run.go
+++ b/node/callerhttp/run.go
@@ -136,6 +136,10 @@
 // respond writes the response of x, whose turn it is. If that fails, the caller can tell that
 // the response is incomplete, because the connection is cut.
 func (c *conn) respond(x *Exchange) error {
+	x.Response.SkipBody = x.Request.Header.IsHead()
+	if lacksLength(x) {
+		c.readAhead(x)
+	}
 	final, ok := c.pipeline.respond(x, c.closeMode(x))
 	if !ok {
 		_ = x.Response.CloseBodyStream()
@@ -150,10 +154,7 @@
 	}
 	setFraming(x, final)
 	_ = c.nc.SetWriteDeadline(lifetime.SendEnd(lifetime.End(x.task.Deadline()), time.Now()))
-	err := x.Response.Write(c.bw)
-	if err == nil {
-		err = c.bw.Flush()
-	}
+	err := c.write(x)
 	switch {
 	case err != nil:
 		if x.ctx.Err() != nil || closedByRemote(c.nc) {
@@ -168,10 +169,21 @@
 	return err
 }
 
+// write writes the response of x.
+func (c *conn) write(x *Exchange) error {
+	if lacksLength(x) {
+		return c.writeUntilClose(x)
+	}
+	if err := x.Response.Write(c.bw); err != nil {
+		return err
+	}
+	return c.bw.Flush()
+}
+
 // closeMode returns how soon the connection is to be closed when x is answered.
 func (c *conn) closeMode(x *Exchange) closeMode {
 	switch {
-	case x.closes || x.Response.ConnectionClose() || c.server.closing.Load():
+	case x.closes || x.Response.ConnectionClose() || lacksLength(x) || c.server.closing.Load():
 		return closeSoon
 	case c.evicted.Load() || c.server.handler.Stopping():
 		return closeWhenIdle
--- a/node/callerhttp/server.go
+++ b/node/callerhttp/server.go
@@ -42,6 +42,10 @@
 	// Bodies bounds the bytes of request bodies that are held or being read, of all connections. A
 	// request whose body doesn't fit is refused with ErrNoRoom. nil means no bound.
 	Bodies *budget.Budget
+	// Responses bounds the bytes of responses that are read ahead to know their length, for callers that
+	// don't know chunked encoding. A response that doesn't fit ends with its connection. nil means no
+	// bound.
+	Responses *budget.Budget
 	// ReadTimeout limits the time from the first byte of a request to its last one.
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a connection without a request is kept, unless the handler knows
@@ -181,9 +185,7 @@
 
 // reset closes a connection of which nothing was read, so that its client knows that.
 func reset(nc net.Conn) {
-	if tcp, isTCP := nc.(*net.TCPConn); isTCP {
-		_ = tcp.SetLinger(0)
-	}
+	setLinger(nc, lingerReset)
 	_ = nc.Close()
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -250,7 +250,7 @@
 // callersConfig returns the limits of the servers of callers, which share the budgets.
 func (n *Node) callersConfig() callerhttp.Config {
 	cfg := callerhttp.DefaultConfig()
-	cfg.Bodies = n.requestBodies
+	cfg.Bodies, cfg.Responses = n.requestBodies, n.responseBuffers
 	connections := n.startSettings.VM.CallerConnections()
 	if n.startSettings.Listen.Local.IsValid() {
 		connections /= 2 // one half for each of the two listeners
