--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -205,11 +205,12 @@
 // sustained returns the number of requests that are in flight on average if the limits are
 // used up: the rate limit times the service time, at most the concurrency limit.
 func (l *Limiter) sustained(s state) int {
-	median := l.times.overallMedian()
-	if !l.rate.limited() || median == 0 {
+	// The rate limit may end at any time: one read decides.
+	median, spacing := l.times.overallMedian(), l.rate.spacing()
+	if spacing == 0 || median == 0 {
 		return s.limit()
 	}
-	return min(s.limit(), 1+int(median/l.rate.spacing()))
+	return min(s.limit(), 1+int(median/spacing))
 }
 
 // refreshLimit writes the current adaptive limit into the state word. It requires mu.
