Record what a peer says of its copy before the copy starts a build

The merge lets the build of a release start: a decision during the build did not know the message yet, took the parent to be late, and left it.

Change: what a message says of the time is recorded under the same lock as its items, before the build is told. applyCopy returns an error only.

--- a/node/follow/bench_test.go
+++ b/node/follow/bench_test.go
@@ -83,7 +83,7 @@
 			delays := new(messageDelays)
 			take := func(c *peerpb.SourceCopy) {
 				held := node.position()
-				if _, err := node.applyCopy(c, delays); err != nil {
+				if err := node.applyCopy(c, delays); err != nil {
 					b.Fatal(err)
 				}
 				if _, _, err := node.copySince(held); err != nil {
--- a/node/follow/peers.go
+++ b/node/follow/peers.go
@@ -87,14 +87,9 @@
 			return err
 		}
 		heard = true
-		asOf, err := f.applyCopy(&c, &delays)
-		if err != nil {
+		if err := f.applyCopy(&c, &delays); err != nil {
 			return err
 		}
-		f.mu.Lock()
-		f.machine.ParentHeard(vm.ID, asOf, !c.GetUnsourced())
-		f.mu.Unlock()
-		f.signalSteer()
 	}
 }
 
@@ -207,14 +202,9 @@
 	if err := ses.ExchangeLarge(ctx, copyRequest(after, false, f.heldReleases(after)...), &c, maxMessageBytes, peerTimeout); err != nil {
 		return source.Position{}, err
 	}
-	asOf, err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: vm})
-	if err != nil {
+	if err := f.applyCopy(&c, &messageDelays{asked: asked, via: viaPeer, from: vm}); err != nil {
 		return source.Position{}, err
 	}
-	f.mu.Lock()
-	f.machine.Copied(asOf)
-	f.mu.Unlock()
-	f.signalSteer()
 	return positionOf(&c), nil
 }
 
@@ -237,28 +227,28 @@
 	errBehind    = errors.New("the peer sent no items for a position after the local one")
 )
 
-// applyCopy applies a copy or the changes of a peer and returns the time as of which this
-// node's copy is complete by it.
-func (f *Follower) applyCopy(c *peerpb.SourceCopy, delays *messageDelays) (time.Duration, error) {
+// applyCopy applies a copy or the changes of a peer, and records the time as of which this node's copy
+// is complete by it.
+func (f *Follower) applyCopy(c *peerpb.SourceCopy, delays *messageDelays) error {
 	received := f.boot()
 	if c.GetRevision() == 0 {
-		return 0, errEmptyPeer
+		return errEmptyPeer
 	}
 	transit := delays.delay(microseconds(c.GetSentUs()), microseconds(c.GetHeldUs()), received)
 	age := microseconds(c.GetAgeUs()) + transit
 	came := arrival{via: delays.via, from: delays.from, whole: c.GetAfter() == 0, bytes: len(c.GetItems()), transit: transit}
 	came.received.at = received
-	changed, err := f.mergeCopy(c, came)
+	changed, err := f.mergeCopy(c, came, received-age)
 	if changed {
 		f.applyList()
 	}
-	return received - age, err
+	return err
 }
 
-// mergeCopy merges a copy or the changes of a peer into the replica, and reports whether it
-// held any items. What a peer that is behind says of the age of its copy holds for this one too,
-// which includes it.
-func (f *Follower) mergeCopy(c *peerpb.SourceCopy, came arrival) (changed bool, err error) {
+// mergeCopy merges a copy or the changes of a peer, complete as of a time, into the replica, and reports
+// whether it held any items. What a peer that is behind says of the age of its copy holds for this one
+// too, which includes it.
+func (f *Follower) mergeCopy(c *peerpb.SourceCopy, came arrival, asOf time.Duration) (changed bool, err error) {
 	if came.bytes > 0 {
 		counters.countTaken(c)
 		came.received.cpu, came.gc = processorTime(), readGC()
@@ -266,6 +256,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if positionOf(c).Compare(f.replica.Position()) < 0 {
+		f.recordHeardLocked(c, came, asOf)
+		f.signalSteer()
 		return false, nil
 	}
 	if len(c.GetItems()) > 0 {
@@ -278,6 +270,19 @@
 	if positionOf(c).Compare(f.replica.Position()) > 0 {
 		return false, errBehind
 	}
+	// Before renewLocked, which starts the build of a release: the decisions during it know the sender.
+	f.recordHeardLocked(c, came, asOf)
 	f.renewLocked()
 	return len(c.GetItems()) > 0, nil
 }
+
+// recordHeardLocked records a message of a parent or of another peer, complete as of a time. The caller
+// holds mu.
+func (f *Follower) recordHeardLocked(c *peerpb.SourceCopy, came arrival, asOf time.Duration) {
+	switch came.via {
+	case viaParent:
+		f.machine.ParentHeard(came.from, asOf, !c.GetUnsourced())
+	case viaPeer:
+		f.machine.Copied(asOf)
+	}
+}
--- a/node/follow/stream_test.go
+++ b/node/follow/stream_test.go
@@ -174,6 +174,30 @@
 	})
 }
 
+// Guards against a parent that is left because the build that its message starts runs before the message is recorded.
+func TestBuildKnowsTheMessageThatStartedIt(t *testing.T) {
+	Convey("A build that is over before the list of its message is applied keeps the parent that sent it", t, func() {
+		parents := make(chan string, 1)
+		var p *pair
+		p = newPair(t, func() {
+			p.pass(0.3)
+			parents <- vmID(p.child.decide().Parent)
+		})
+		defer p.close()
+		p.follow()
+		eventually(t, func() bool { return p.child.command.State.Snapshot() != nil })
+		p.change(vmEntry(p.parentVM.ID, 4))
+		p.awaitChild(t, 4)
+		p.child.decide()
+		p.pass(0.3)
+		p.child.listMu.Lock()
+		p.change(source.Item{Key: "config", Value: []byte("\x02"), Revision: 5})
+		parent := <-parents
+		p.child.listMu.Unlock()
+		So(parent, ShouldEqual, p.parentVM.ID)
+	})
+}
+
 // Guards against the next change being read, and passed on, only after a build.
 func TestChangesReadDuringBuild(t *testing.T) {
 	Convey("While a node builds a release, its copy gets the next change of its parent", t, func() {
--- a/node/follow/work_test.go
+++ b/node/follow/work_test.go
@@ -48,7 +48,7 @@
 	node, delays, next := newPlatformFollower(), new(messageDelays), 0
 	take := func() {
 		held := node.position()
-		_, err := node.applyCopy(copies[next], delays)
+		err := node.applyCopy(copies[next], delays)
 		So(err, ShouldBeNil)
 		_, _, err = node.copySince(held)
 		So(err, ShouldBeNil)
@@ -75,7 +75,7 @@
 			c, _, err := holder.copySince(asking.position())
 			So(err, ShouldBeNil)
 			size = len(c.GetItems())
-			_, err = asking.applyCopy(c, new(messageDelays))
+			err = asking.applyCopy(c, new(messageDelays))
 			asking.buildNewest()
 			return err
 		}
