Keep the length of a response that is known to callers with HTTP/1.0

Found in the read-through: a body that a stopping node holds has a length, but was read ahead once more, and ended the connection if the budget was used up. Only a body without a length lacks one. The tests of callerhttp pass; no test of its own, as the states look the same to the caller unless the budget is used up.

--- a/node/callerhttp/unframed.go
+++ b/node/callerhttp/unframed.go
@@ -18,7 +18,8 @@
 
 // lacksLength reports whether the response of x has a streamed body whose end its caller could not tell.
 func lacksLength(x *Exchange) bool {
-	return !x.Request.Header.IsHTTP11() && !x.Request.Header.IsHead() && x.Response.IsBodyStream()
+	resp := &x.Response
+	return !x.Request.Header.IsHTTP11() && !x.Request.Header.IsHead() && resp.IsBodyStream() && resp.Header.ContentLength() < 0
 }
 
 // readAhead reads the body of a response that lacks its length. If the body is complete, the response
