Move the rule for status lines to core/responsehead

The rule for status lines was in core/statusline. It moves unchanged, so that the rule for fields stands beside it. No behaviour changes.

--- a/core/statusline/statusline.go
+++ b/core/responsehead/status_line.go
@@ -1,6 +1,6 @@
-// Package statusline checks the status line of an HTTP/1 response before a parser sees it. Parsers accept
-// more than the protocol allows: fasthttp takes status 000 for 200, and HTTP/2.7 for a version.
-package statusline
+// Package responsehead checks the head of an HTTP/1 response before a parser sees it. Parsers accept more than
+// the protocol allows: fasthttp takes status 000 for 200, and HTTP/2.7 for a version.
+package responsehead
 
 import "fmt"
 
--- a/core/statusline/statusline_test.go
+++ b/core/responsehead/status_line_test.go
@@ -1,4 +1,4 @@
-package statusline_test
+package responsehead_test
 
 import (
 	"regexp"
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"auburnladder.example/core/statusline"
+	"auburnladder.example/core/responsehead"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -26,24 +26,24 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		got := statusline.Check(b)
+		got := responsehead.Check(b)
 		if match := valid.FindSubmatch(b); match != nil {
 			status, _ := strconv.Atoi(string(match[1]))
-			want := statusline.Final
+			want := responsehead.Final
 			if status < 200 {
-				want = statusline.Interim
+				want = responsehead.Interim
 			}
 			if got != want {
 				t.Fatalf("%q: kind %d, want %d", b, got, want)
 			}
-		} else if got == statusline.Final || got == statusline.Interim {
+		} else if got == responsehead.Final || got == responsehead.Interim {
 			t.Fatalf("%q is taken for valid", b)
 		}
-		if got == statusline.Incomplete && len(b) >= statusline.CheckedBytes {
+		if got == responsehead.Incomplete && len(b) >= responsehead.CheckedBytes {
 			t.Fatalf("%q: %d bytes are not enough", b, len(b))
 		}
 		for i := range b {
-			if k := statusline.Check(b[:i]); k != statusline.Incomplete && k != got {
+			if k := responsehead.Check(b[:i]); k != responsehead.Incomplete && k != got {
 				t.Fatalf("%q: kind %d after %d bytes, %d at the end", b, k, i, got)
 			}
 		}
@@ -53,7 +53,7 @@
 // Guards against a log entry of the size that a faulty server chooses.
 func TestErrorIsBounded(t *testing.T) {
 	Convey("An error keeps the line only, up to a bound", t, func() {
-		So(statusline.NewError([]byte("HTTP/1.1 000 X\r\nX-Seal: secret")).Line, ShouldEqual, "HTTP/1.1 000 X")
-		So(len(statusline.NewError([]byte(strings.Repeat("x", 1000))).Line), ShouldEqual, 64)
+		So(responsehead.NewError([]byte("HTTP/1.1 000 X\r\nX-Seal: secret")).Line, ShouldEqual, "HTTP/1.1 000 X")
+		So(len(responsehead.NewError([]byte(strings.Repeat("x", 1000))).Line), ShouldEqual, 64)
 	})
 }
--- a/node/proxy/egress/status_line.go
+++ b/node/proxy/egress/status_line.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 
-	"auburnladder.example/core/statusline"
+	"auburnladder.example/core/responsehead"
 	"github.com/valyala/fasthttp"
 )
 
@@ -31,12 +31,12 @@
 // readResponse reads the next final response, with a body of at most maxBodyBytes, 0 for no limit. It
 // fails on a malformed status line without reading on, and skips interim responses.
 func readResponse(br *bufio.Reader, resp *fasthttp.Response, maxBodyBytes int) error {
-	for range statusline.MaxInterim + 1 {
+	for range responsehead.MaxInterim + 1 {
 		kind, err := peekStatusLine(br)
 		if err != nil {
 			return err
 		}
-		if kind == statusline.Final {
+		if kind == responsehead.Final {
 			return wrapHeadError(resp.ReadLimitBody(br, maxBodyBytes))
 		}
 		if err := resp.Header.Read(br); err != nil {
@@ -49,19 +49,19 @@
 
 // peekStatusLine returns the kind of the status line that br returns next, Interim or Final, and consumes
 // nothing.
-func peekStatusLine(br *bufio.Reader) (statusline.Kind, error) {
+func peekStatusLine(br *bufio.Reader) (responsehead.Kind, error) {
 	for {
 		b, _ := br.Peek(br.Buffered())
-		switch kind := statusline.Check(b); kind {
-		case statusline.Incomplete:
-		case statusline.Malformed:
+		switch kind := responsehead.Check(b); kind {
+		case responsehead.Incomplete:
+		case responsehead.Malformed:
 			egressStats.Add("malformed_responses", 1)
-			return kind, statusline.NewError(b)
+			return kind, responsehead.NewError(b)
 		default:
 			return kind, nil
 		}
 		if _, err := br.Peek(len(b) + 1); err != nil {
-			return statusline.Incomplete, err
+			return responsehead.Incomplete, err
 		}
 	}
 }
@@ -87,7 +87,7 @@
 			return known.Error()
 		}
 	}
-	var malformed *statusline.Error
+	var malformed *responsehead.Error
 	switch {
 	case errors.As(err, &malformed):
 		return "malformed response"
--- a/node/proxy/egress/status_line_test.go
+++ b/node/proxy/egress/status_line_test.go
@@ -11,7 +11,7 @@
 	"testing/iotest"
 	"time"
 
-	"auburnladder.example/core/statusline"
+	"auburnladder.example/core/responsehead"
 	"auburnladder.example/node/decisions"
 	"auburnladder.example/wire/peerpb"
 	"github.com/rs/zerolog"
@@ -25,7 +25,7 @@
 	for _, head := range []string{
 		"HTTP/1.1 000 X", "HTTP/2.7 200 OK", "HTTP/1.1 600 X", "HTTP/1.1 099 X", "HTTP/1.1 101 X", "HTTP/1.1 999 X",
 		"HTTP/1.1 20 X", "HTTP/1.1 200 OK", "HTTP/1.0 204", "HTTP/1.1 304 X", "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 OK",
-		strings.Repeat("HTTP/1.1 103 X\r\nLink: a\r\n\r\n", statusline.MaxInterim+1) + "HTTP/1.1 200 OK",
+		strings.Repeat("HTTP/1.1 103 X\r\nLink: a\r\n\r\n", responsehead.MaxInterim+1) + "HTTP/1.1 200 OK",
 	} {
 		f.Add([]byte(head + "\r\nContent-Length: 2\r\nX-Seal: s\r\n\r\nhi"))
 	}
@@ -35,7 +35,7 @@
 		if (err == nil) != (slowErr == nil) || status != slowStatus {
 			t.Fatalf("%q: %d %v at once, %d %v byte by byte", b, status, err, slowStatus, slowErr)
 		}
-		if err == nil && !statusline.ValidStatus(status) {
+		if err == nil && !responsehead.ValidStatus(status) {
 			t.Fatalf("%q: status %d", b, status)
 		}
 		if err != nil && len(err.Error()) > 2*maxErrorText {
@@ -70,7 +70,7 @@
 		defer servers.Close()
 		go func() { _, _ = servers.Write([]byte("HTTP/1.1 0")) }()
 		kind, err := peekStatusLine(bufio.NewReader(ours))
-		So(kind, ShouldEqual, statusline.Malformed)
+		So(kind, ShouldEqual, responsehead.Malformed)
 		So(err.Error(), ShouldEqual, `malformed status line "HTTP/1.1 0"`)
 	})
 }
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"time"
 
+	"auburnladder.example/core/responsehead"
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
-	"auburnladder.example/core/statusline"
 	"auburnladder.example/core/steady"
 	"auburnladder.example/core/verdict"
 	"auburnladder.example/core/vmlist"
@@ -261,7 +261,7 @@
 	a.recordAnnouncements(a.reply.GetLoad().GetLeavingServer())
 	switch v := verdictFromWire(a.reply.GetVerdict()); v {
 	case verdict.Ran:
-		if !statusline.ValidStatus(int(a.reply.GetStatus())) {
+		if !responsehead.ValidStatus(int(a.reply.GetStatus())) {
 			a.err = verdict.Wrap(verdict.MayHaveRun, &replyError{detail: fmt.Sprintf("reply with status %d", a.reply.GetStatus())})
 			a.outcome.Kind = routing.Failure
 			return
