Check the trailer section of a server's response

What callers saw: a response in chunks whose trailer section held a blank in a field name, a blank before the colon, or a folded line arrived as complete.

Cause: fasthttp reads the chunks and the trailer section in one stream, with the same tolerance as the head, and nothing could look between.

Control bytes in a name, a Content-Length among the trailer fields and malformed chunk sizes were refused already; their cases are kept.

Change: chunkedBody reads the chunks with the standard library's reader and scans the trailer section before fasthttp's parser reads it, which still refuses fields that belong into a head. Health checks, drain polls and stop requests read their bodies the same way, up to 64 KiB.

Why it works: io.EOF, on which alone a response counts as complete, comes only from a trailer section that the scanner has seen to its end. A response of which a part was passed on is cut; others are may-have-run.

--- a/e2e/malformed_test.go
+++ b/e2e/malformed_test.go
@@ -22,13 +22,18 @@
 	answerFields = "X-Request-Id: %s\r\nX-Server-Seal: s\r\n"
 	// sizedBody and chunkedBody end the head of an answer and are the body "hello".
 	sizedBody   = "Content-Length: 5\r\n\r\nhello"
-	chunkedBody = "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	chunkedBody = chunks + "\r\n"
+	// chunks end the head of an answer and are the body "hello" without its trailer section.
+	chunks = "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+	// chunkedAnswer is an answer without its trailer section.
+	chunkedAnswer = "HTTP/1.1 200 OK\r\n" + answerFields + chunks
 )
 
 // wellFormedAnswers are answers that callers get.
 var wellFormedAnswers = map[string]string{
 	"sized":           "HTTP/1.1 200 OK\r\n" + answerFields + sizedBody,
 	"chunked":         "HTTP/1.1 200 OK\r\n" + answerFields + chunkedBody,
+	"trailer fields":  chunkedAnswer + "X-Good: y\r\nX-More:\r\n\r\n",
 	"HTTP/1.0":        "HTTP/1.0 200 OK\r\n" + answerFields + "\r\nhello",
 	"unusual name":    "HTTP/1.1 200 OK\r\n!#$%%&'*+-.^_`|~: y\r\n" + answerFields + sizedBody,
 	"unusual value":   "HTTP/1.1 200 OK\r\nX-Good:\t\xe4 : y \r\nX-Empty:\r\n" + answerFields + sizedBody,
@@ -37,22 +42,33 @@
 
 // malformedAnswers are answers that no caller may get.
 var malformedAnswers = map[string]string{
-	"status 000":                "HTTP/1.1 000 OK\r\n" + answerFields + sizedBody,
-	"blank in a name":           "HTTP/1.1 200 OK\r\nX Bad: y\r\n" + answerFields + sizedBody,
-	"blank behind a name":       "HTTP/1.1 200 OK\r\nX-Bad : y\r\n" + answerFields + sizedBody,
-	"blank before a name":       "HTTP/1.1 200 OK\r\n" + answerFields + " X-Bad: y\r\n" + sizedBody,
-	"tab in a name":             "HTTP/1.1 200 OK\r\nX\tBad: y\r\n" + answerFields + sizedBody,
-	"NUL in a name":             "HTTP/1.1 200 OK\r\nX\x00Bad: y\r\n" + answerFields + sizedBody,
-	"escape in a name":          "HTTP/1.1 200 OK\r\nX\x1bBad: y\r\n" + answerFields + sizedBody,
-	"DEL in a name":             "HTTP/1.1 200 OK\r\nX\x7fBad: y\r\n" + answerFields + sizedBody,
-	"carriage return in a name": "HTTP/1.1 200 OK\r\nX\rBad: y\r\n" + answerFields + sizedBody,
-	"no name":                   "HTTP/1.1 200 OK\r\n: y\r\n" + answerFields + sizedBody,
-	"control byte in a value":   "HTTP/1.1 200 OK\r\nX-Bad: y\x01\r\n" + answerFields + sizedBody,
-	"blank in the length":       "HTTP/1.1 200 OK\r\n" + answerFields + "Content Length: 5\r\n\r\nhello and more",
-	"blank in the encoding":     "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(chunkedBody, "-", " ", 1),
-	"interim answer":            "HTTP/1.1 103 X\r\nX Bad: y\r\n\r\nHTTP/1.1 200 OK\r\n" + answerFields + sizedBody,
-	"failure":                   "HTTP/1.1 500 X\r\nX Bad: y\r\n" + answerFields + sizedBody,
-	"not executed":              "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX Bad: y\r\n" + answerFields + sizedBody,
+	"status 000":                 "HTTP/1.1 000 OK\r\n" + answerFields + sizedBody,
+	"blank in a name":            "HTTP/1.1 200 OK\r\nX Bad: y\r\n" + answerFields + sizedBody,
+	"blank behind a name":        "HTTP/1.1 200 OK\r\nX-Bad : y\r\n" + answerFields + sizedBody,
+	"blank before a name":        "HTTP/1.1 200 OK\r\n" + answerFields + " X-Bad: y\r\n" + sizedBody,
+	"tab in a name":              "HTTP/1.1 200 OK\r\nX\tBad: y\r\n" + answerFields + sizedBody,
+	"NUL in a name":              "HTTP/1.1 200 OK\r\nX\x00Bad: y\r\n" + answerFields + sizedBody,
+	"escape in a name":           "HTTP/1.1 200 OK\r\nX\x1bBad: y\r\n" + answerFields + sizedBody,
+	"DEL in a name":              "HTTP/1.1 200 OK\r\nX\x7fBad: y\r\n" + answerFields + sizedBody,
+	"carriage return in a name":  "HTTP/1.1 200 OK\r\nX\rBad: y\r\n" + answerFields + sizedBody,
+	"no name":                    "HTTP/1.1 200 OK\r\n: y\r\n" + answerFields + sizedBody,
+	"control byte in a value":    "HTTP/1.1 200 OK\r\nX-Bad: y\x01\r\n" + answerFields + sizedBody,
+	"blank in the length":        "HTTP/1.1 200 OK\r\n" + answerFields + "Content Length: 5\r\n\r\nhello and more",
+	"blank in the encoding":      "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(chunkedBody, "-", " ", 1),
+	"blank in a trailer name":    chunkedAnswer + "X Bad: y\r\n\r\n",
+	"blank behind a trailer":     chunkedAnswer + "X-Bad : y\r\n\r\n",
+	"blank before a trailer":     chunkedAnswer + "X-Good: y\r\n X-Bad: y\r\n\r\n",
+	"control byte in a trailer":  chunkedAnswer + "X\x01Bad: y\r\n\r\n",
+	"length as a trailer":        chunkedAnswer + "Content-Length: 5\r\n\r\n",
+	"end within a trailer":       chunkedAnswer + "X-Good: y\r\n",
+	"line feed behind a size":    strings.Replace(chunkedAnswer, "5\r\n", "5\n", 1) + "\r\n",
+	"size that is no number":     strings.Replace(chunkedAnswer, "5\r\n", "x\r\n", 1) + "\r\n",
+	"negative size":              strings.Replace(chunkedAnswer, "5\r\n", "-5\r\n", 1) + "\r\n",
+	"blank before a size":        strings.Replace(chunkedAnswer, "5\r\n", " 5\r\n", 1) + "\r\n",
+	"chunk longer than its size": strings.Replace(chunkedAnswer, "5\r\n", "4\r\n", 1) + "\r\n",
+	"interim answer":             "HTTP/1.1 103 X\r\nX Bad: y\r\n\r\nHTTP/1.1 200 OK\r\n" + answerFields + sizedBody,
+	"failure":                    "HTTP/1.1 500 X\r\nX Bad: y\r\n" + answerFields + sizedBody,
+	"not executed":               "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX Bad: y\r\n" + answerFields + sizedBody,
 }
 
 // sendRaw is an answer of a backend server that consists of the bytes of text, with the request ID filled in. The
--- a/node/proxy/egress/identify.go
+++ b/node/proxy/egress/identify.go
@@ -33,7 +33,7 @@
 // duplicate responses to other requests are skipped.
 func (x *exchange) readResponseHead(conn *serverConn, resp *fasthttp.Response) error {
 	for range maxMismatchedResponses + 1 {
-		if err := readResponse(conn.br, resp, 0); err != nil {
+		if err := readResponse(conn.br, resp); err != nil {
 			return err
 		}
 		if x.matchesRequest(conn, resp) {
@@ -45,7 +45,6 @@
 			return err
 		}
 		resp.Reset()
-		resp.StreamBody = true
 		resp.SkipBody = x.call.GetMethod() == fasthttp.MethodHead
 		resp.Header.SetNoDefaultContentType(true)
 	}
--- a/node/proxy/egress/node_request.go
+++ b/node/proxy/egress/node_request.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -10,6 +13,8 @@
 // maxNodeResponseBytes limits the response body to a request of the node itself.
 const maxNodeResponseBytes = 64 << 10
 
+var errNodeResponseTooLarge = errors.New("response to a request of the node exceeds the size limit")
+
 // sendNodeRequest sends a request of the node itself, such as a drain poll or a stop
 // request, to the backend server and returns the status code. It uses a separate
 // connection and no slot of the limiter.
@@ -40,9 +45,28 @@
 	if err := conn.writeRequest(req); err != nil {
 		return err
 	}
-	if err := readResponse(conn.br, resp, maxNodeResponseBytes); err != nil {
+	if err := readResponse(conn.br, resp); err != nil {
+		return unexpectedEOF(err)
+	}
+	if err := skipNodeResponseBody(resp); err != nil {
 		return unexpectedEOF(err)
 	}
 	read(sent, resp)
 	return nil
 }
+
+// skipNodeResponseBody reads the body of a response to its end, so that a broken response is an error.
+func skipNodeResponseBody(resp *fasthttp.Response) error {
+	body := resp.BodyStream()
+	if body == nil {
+		return nil
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxNodeResponseBytes+1))
+	if err != nil {
+		return fmt.Errorf("response body truncated after %d bytes: %w", n, err)
+	}
+	if n > maxNodeResponseBytes {
+		return errNodeResponseTooLarge
+	}
+	return resp.CloseBodyStream()
+}
--- a/node/proxy/egress/read_response.go
+++ b/node/proxy/egress/read_response.go
@@ -26,16 +26,17 @@
 // Unwrap returns the cause.
 func (e *headError) Unwrap() error { return e.cause }
 
-// readResponse reads the next final response, with a body of at most maxBodyBytes, 0 for no limit. It
+// readResponse reads the head of the next final response. Its body is the BodyStream of resp, if it has one. It
 // fails on a malformed head without reading on, and skips interim responses.
-func readResponse(br *bufio.Reader, resp *fasthttp.Response, maxBodyBytes int) error {
+func readResponse(br *bufio.Reader, resp *fasthttp.Response) error {
+	resp.StreamBody = true
 	var head responsehead.Scanner
 	for {
 		if err := peekSection(br, &head); err != nil {
 			return err
 		}
 		if head.Kind() == responsehead.Final {
-			return wrapHeadError(resp.ReadLimitBody(br, maxBodyBytes))
+			return readFinalResponse(br, resp)
 		}
 		if err := resp.Header.Read(br); err != nil {
 			return wrapHeadError(err)
@@ -44,6 +45,17 @@
 	}
 }
 
+// readFinalResponse reads a final response whose head was checked.
+func readFinalResponse(br *bufio.Reader, resp *fasthttp.Response) error {
+	if err := resp.Read(br); err != nil {
+		return wrapHeadError(err)
+	}
+	if resp.BodyStream() != nil && resp.Header.ContentLength() == sizeChunked {
+		resp.SetBodyStream(newChunkedBody(br, &resp.Header), sizeChunked)
+	}
+	return nil
+}
+
 // peekSection waits until br holds the whole section that s scans. It fails at the first malformed byte, and
 // consumes nothing.
 func peekSection(br *bufio.Reader, s *responsehead.Scanner) error {
--- a/node/proxy/egress/read_response_test.go
+++ b/node/proxy/egress/read_response_test.go
@@ -58,8 +58,7 @@
 func readFuzzed(br *bufio.Reader) (int, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	resp.StreamBody = true
-	if err := readResponse(br, resp, 0); err != nil {
+	if err := readResponse(br, resp); err != nil {
 		return 0, err
 	}
 	return resp.StatusCode(), nil
@@ -113,6 +112,27 @@
 	})
 }
 
+// Guards against a request of the node itself that takes a body whose end is malformed, or too long, for a response.
+func TestNodeRequestsRejectMalformedBodies(t *testing.T) {
+	Convey("A response to a request of the node is read to its end", t, func() {
+		chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		for text, valid := range map[string]bool{
+			chunked + "2\r\nok\r\n0\r\n\r\n": true, chunked + "0\r\nX-Good: y\r\n\r\n": true,
+			"HTTP/1.1 200 OK\r\n\r\nok":       true,
+			chunked + "0\r\nX Bad: y\r\n\r\n": false, chunked + "0\r\nX-Bad : y\r\n\r\n": false, chunked + "0\r\nX-Good: y\r\n": false,
+			"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok":                                                 false,
+			"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", maxNodeResponseBytes+1): false,
+			"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxNodeResponseBytes+1):                          false,
+		} {
+			r := newEgressRig(newRawServer(respondRaw(text)))
+			r.egress.applyServerLimits()
+			_, err := r.egress.sendNodeRequest(context.Background(), http.MethodGet, "/health")
+			SoMsg(fmt.Sprintf("%.80q", text), err == nil, ShouldEqual, valid)
+			r.close()
+		}
+	})
+}
+
 // Guards against a malformed response that can't be found in the log, or whose seal is there too.
 func TestMalformedLineIsLogged(t *testing.T) {
 	Convey("The beginning of the line is logged and not sent to the caller's node", t, func() {
--- a/node/proxy/egress/response.go
+++ b/node/proxy/egress/response.go
@@ -24,7 +24,6 @@
 func (x *exchange) receiveResponse(ctx context.Context, conn *serverConn, stop func() bool) (verdict.Verdict, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	resp.StreamBody = true
 	resp.SkipBody = x.call.GetMethod() == fasthttp.MethodHead
 	resp.Header.SetNoDefaultContentType(true)
 	if err := x.readResponseHead(conn, resp); err != nil {
