Reject a response of HTTP/1.0 that has a Transfer-Encoding

What callers saw: a server's "HTTP/1.0 200 OK" with Transfer-Encoding: chunked arrived with the sizes of the chunks as a part of the body, and with a length beside it as "5\r\nhe" for "hello", sealed and complete.

Cause: fasthttp leaves the field out in HTTP/1.0 and reads the body up to its length or the end of the connection. RFC 9112 (6.1) has such a message treated as one whose framing is faulty, even with a length.

Change: the scanner takes the field for malformed in a head of HTTP/1.0.

Why it works: the head is refused before anything decides where its body ends.

--- a/core/responsehead/scanner.go
+++ b/core/responsehead/scanner.go
@@ -3,19 +3,25 @@
 // blank as a part of a field name.
 package responsehead
 
-import "cmp"
+import (
+	"cmp"
+	"strings"
+)
 
 // Scanner checks a head of a response, or a trailer section, while its bytes arrive. It reports a malformed
 // byte as soon as it sees it. The zero value checks a head.
 //
 // The rule is the grammar of RFC 9112 (sections 4, 5 and 7.1.2) and RFC 9110 (section 5). Where the RFCs let a
 // recipient repair a message, it is malformed here: a line that doesn't end with CRLF, a line that begins with
-// white space (the folding of earlier versions), and white space between a field name and the colon.
+// white space (the folding of earlier versions), and white space between a field name and the colon. So is a
+// Transfer-Encoding in HTTP/1.0, as the length of its body can't be trusted (RFC 9112, section 6.1).
 type Scanner struct {
 	state state
 	kind  Kind
 	// part is the part that is scanned, "" for the status line.
 	part Part
+	// http10 is set in a head of HTTP/1.0.
+	http10 bool
 	// interim is the number of interim heads that were scanned before.
 	interim int
 	// line is the beginning of the current line as far as earlier calls of Scan consumed it.
@@ -114,6 +120,10 @@
 		switch next {
 		case malformed:
 			return n, s.newError(b[lineStart:], n-lineStart)
+		case inValue:
+			if s.http10 && s.isTransferEncoding(b[lineStart:n-1]) {
+				return n, s.newError(b[lineStart:], n-lineStart)
+			}
 		case atLineStart:
 			lineStart, s.lineLength = n, 0
 			s.part = cmp.Or(s.part, Field)
@@ -140,12 +150,25 @@
 		if kind == Interim && s.interim == MaxInterim {
 			return s.lineLength - kept, &Error{Part: InterimHeads, Line: string(s.line[:s.lineLength])}
 		}
+		s.http10 = s.line[minorVersion] == '0'
 		// The last byte checked is the first one of the reason.
 		s.kind, s.state, s.lineLength = kind, inReason, CheckedBytes-1
 		return s.lineLength - kept, nil
 	}
 }
 
+// transferEncoding is the name of the field that HTTP/1.0 does not have.
+const transferEncoding = "Transfer-Encoding"
+
+// isTransferEncoding reports whether the name of the current line, whose kept part rest follows, is
+// transferEncoding.
+func (s *Scanner) isTransferEncoding(rest []byte) bool {
+	if s.lineLength+len(rest) != len(transferEncoding) {
+		return false
+	}
+	return strings.EqualFold(string(s.line[:s.lineLength])+string(rest), transferEncoding)
+}
+
 // keep appends b to the kept part of the line, up to its bound.
 func (s *Scanner) keep(b []byte) {
 	s.lineLength += copy(s.line[s.lineLength:], b)
--- a/core/responsehead/scanner_test.go
+++ b/core/responsehead/scanner_test.go
@@ -14,14 +14,17 @@
 const fieldLines = "([-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*\r\n"
 
 var (
-	validHead    = regexp.MustCompile(`^HTTP/1\.[01] (100|103|[2-5][0-9]{2})( [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n` + fieldLines)
-	validTrailer = regexp.MustCompile("^" + fieldLines)
+	validHead = regexp.MustCompile(`^HTTP/1\.[01] (100|103|[2-5][0-9]{2})( [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n` + fieldLines)
+	// chunksOfHTTP10 is a head that validHead matches although it is malformed.
+	chunksOfHTTP10 = regexp.MustCompile(`(?i)^HTTP/1\.0[^\n]*\n([^\n]+\n)*Transfer-Encoding:`)
+	validTrailer   = regexp.MustCompile("^" + fieldLines)
 )
 
 // fields are field lines, some of which are malformed.
 var fields = []string{
 	"A: b\r\n", "A:\r\n", "A:b\t\xe4 \r\n", "!#$%&'*+-.^_`|~: b\r\n", "A B: c\r\n", "A : b\r\n", "A\t: b\r\n", " A: b\r\n",
 	"A: b\r\n C: d\r\n", "A\x00: b\r\n", "A\x7f: b\r\n", "\xe4: b\r\n", ": b\r\n", "A\r\n", "A: b\n", "A: b\r", "A: \x01\r\n", "A\r: b\r\n", "",
+	"Transfer-Encoding: chunked\r\n", "transfer-encoding:\r\n", "Transfer-Encodings: a\r\n", "ATransfer-Encoding: a\r\n", "A: b\r\nTRANSFER-ENCODING: a\r\n",
 }
 
 // scan returns the number of bytes of the section at the beginning of b, 0 if it is malformed or incomplete. It
@@ -43,7 +46,11 @@
 
 func checkSection(t *testing.T, s responsehead.Scanner, valid *regexp.Regexp, b []byte) {
 	t.Helper()
-	want := len(valid.Find(b))
+	section := valid.Find(b)
+	want := len(section)
+	if chunksOfHTTP10.Match(section) {
+		want = 0
+	}
 	for _, part := range []int{1, 5, len(b) + 1} {
 		got, err := scan(s, b, part)
 		if got != want {
@@ -60,7 +67,7 @@
 // decision that depends on how the bytes arrive.
 func FuzzScanner(f *testing.F) {
 	for _, field := range fields {
-		for _, line := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 404\r\n", "HTTP/1.1 103 \r\n", "HTTP/1.1 000 X\r\n", "HTTP/1.1 200 O\x01K\r\n", ""} {
+		for _, line := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 404\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 103 \r\n", "HTTP/1.1 000 X\r\n", "HTTP/1.1 200 O\x01K\r\n", ""} {
 			f.Add([]byte(line + "X: y\r\n" + field + "Z: z\r\n\r\nhello"))
 		}
 	}
--- a/core/responsehead/status_line.go
+++ b/core/responsehead/status_line.go
@@ -34,8 +34,9 @@
 // layout is the beginning of a status line. An x stands for 0 or 1, a 0 for a digit of the status, and an
 // underscore for the end of the status: a space or the end of the line.
 const (
-	layout      = "HTTP/1.x 000_"
-	statusStart = 9
+	layout       = "HTTP/1.x 000_"
+	minorVersion = 7
+	statusStart  = 9
 )
 
 // CheckStatusLine returns the kind of the status line at the beginning of b. It returns Malformed as soon as no
