Check the fields of replies of other nodes

What callers saw: while nodes of an earlier version run, the reply of such a node could hold a field of a faulty server, with a blank, a line end or a colon in the name or the value, and the caller's node wrote it to the caller.

Cause: the caller's node checked the status of a reply only.

Change: a reply with the verdict ran must have fields that the rule of core/responsehead allows. Otherwise it is may-have-run, as for the status.

Why it works: the check stands where every reply is classified, before any byte is written to the caller. A folded line that an earlier node has joined to a value can't be told there.

--- a/core/responsehead/field.go
+++ b/core/responsehead/field.go
@@ -15,6 +15,21 @@
 	textBytes = newByteSet(func(c byte) bool { return c >= ' ' && c != 0x7f || c == '\t' })
 )
 
+// ValidField reports whether a response may have a field with the name and the value, which are as a parser returns
+// them.
+func ValidField(name, value string) bool {
+	return name != "" && tokenBytes.containsAll(name) && textBytes.containsAll(value)
+}
+
+func (set *byteSet) containsAll(s string) bool {
+	for i := range len(s) {
+		if !set[s[i]] {
+			return false
+		}
+	}
+	return true
+}
+
 func newByteSet(isMember func(c byte) bool) (set byteSet) {
 	for c := range len(set) {
 		set[c] = isMember(byte(c))
--- a/core/responsehead/scanner_test.go
+++ b/core/responsehead/scanner_test.go
@@ -115,3 +115,18 @@
 		}
 	}
 }
+
+// Guards against a field that a scanner takes for valid and ValidField doesn't, or the reverse.
+func TestValidField(t *testing.T) {
+	Convey("Fields are valid by the same rule as lines of a head", t, func() {
+		for _, part := range []string{"", "A", "a-1", "A B", "A ", " A", "A\t", "\x00", "A\x7f", "\xe4", "(A)", "A\r\nB"} {
+			for _, line := range []string{"X" + part + ": y", "X: " + part} {
+				name, value, _ := strings.Cut(line, ":")
+				var s responsehead.Scanner
+				_, err := s.Scan([]byte("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n"))
+				SoMsg(line, responsehead.ValidField(name, value), ShouldEqual, err == nil && !strings.Contains(line, "\n"))
+			}
+		}
+		So(responsehead.ValidField("", "y"), ShouldBeFalse)
+	})
+}
--- a/node/proxy/ingress/attempt.go
+++ b/node/proxy/ingress/attempt.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"auburnladder.example/core/responsehead"
 	"auburnladder.example/core/retry"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/steady"
@@ -261,8 +260,8 @@
 	a.recordAnnouncements(a.reply.GetLoad().GetLeavingServer())
 	switch v := verdictFromWire(a.reply.GetVerdict()); v {
 	case verdict.Ran:
-		if !responsehead.ValidStatus(int(a.reply.GetStatus())) {
-			a.err = verdict.Wrap(verdict.MayHaveRun, &replyError{detail: fmt.Sprintf("reply with status %d", a.reply.GetStatus())})
+		if err := checkReply(&a.reply); err != nil {
+			a.err = verdict.Wrap(verdict.MayHaveRun, err)
 			a.outcome.Kind = routing.Failure
 			return
 		}
--- a/node/proxy/ingress/malformed_reply_test.go
+++ b/node/proxy/ingress/malformed_reply_test.go
@@ -17,16 +17,27 @@
 // because the node of the server is of an earlier version.
 func TestMalformedReplies(t *testing.T) {
 	for name, reply := range map[string]*peerpb.Reply{
-		"status 0":    {Verdict: peerpb.Verdict_VERDICT_RAN, Body: []byte("seal")},
-		"status 101":  {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 101, Body: []byte("seal")},
-		"status 600":  {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 600, Body: []byte("seal")},
-		"text quoted": {Verdict: peerpb.Verdict_VERDICT_MAY_HAVE_RUN, Detail: `cannot parse "X-Seal: seal"`},
+		"status 0":                 {Verdict: peerpb.Verdict_VERDICT_RAN, Body: []byte("seal")},
+		"status 101":               {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 101, Body: []byte("seal")},
+		"status 600":               {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 600, Body: []byte("seal")},
+		"blank in a name":          {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Headers: []*peerpb.Header{{Name: "X Bad", Value: "y"}}},
+		"blank behind a name":      {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 404, Headers: []*peerpb.Header{{Name: "X-Bad ", Value: "y"}}},
+		"control byte in a name":   {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Headers: []*peerpb.Header{{Name: "X\x01Bad", Value: "y"}}},
+		"colon in a name":          {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Headers: []*peerpb.Header{{Name: "X:Bad", Value: "y"}}},
+		"no name":                  {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Headers: []*peerpb.Header{{Value: "y"}}},
+		"line ending in a value":   {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Headers: []*peerpb.Header{{Name: "X-Bad", Value: "y\r\nX: y"}}},
+		"control byte in a value":  {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, Headers: []*peerpb.Header{{Name: "X-Bad", Value: "\x00"}}},
+		"blank in a streamed head": {Verdict: peerpb.Verdict_VERDICT_RAN, Status: 200, More: true, Headers: []*peerpb.Header{{Name: "X Bad", Value: "y"}}},
+		"text quoted":              {Verdict: peerpb.Verdict_VERDICT_MAY_HAVE_RUN, Detail: `cannot parse "X-Seal: seal"`},
 	} {
 		bad := func(_ *link, call *peerpb.Call, st *session.Stream) {
 			_ = st.Send(&peerpb.Reply{
 				Id: call.GetId(), Verdict: reply.GetVerdict(), Status: reply.GetStatus(), Body: reply.GetBody(), Detail: reply.GetDetail(),
-				Headers: []*peerpb.Header{{Name: "X-Seal", Value: "seal"}},
+				Headers: append([]*peerpb.Header{{Name: "X-Seal", Value: "seal"}}, reply.GetHeaders()...), More: reply.GetMore(),
 			})
+			if reply.GetMore() {
+				_ = st.Send(&peerpb.Body{Data: []byte("seal"), Last: true, Total: 4})
+			}
 		}
 		Convey("A malformed reply is may-have-run and a failure of the server: "+name, t, func() {
 			f := newPublishedFleet(t, bad, bad)
