Check the head of responses of the platform's own service

What was seen: the client of the platform's service, the source without a key-value store, took a value from a response of HTTP/2.7 and from one with a blank in a field name or before the colon.

Cause: net/http takes both, and the client looked at the status only.

Change: version, status and fields must be valid by the rule of core/responsehead, otherwise the read fails and the next endpoint is asked.

Why it works: net/http keeps such names as they were sent, so they are seen. A folded line is joined before, and can't be. What a value holds is checked by its digest and approval besides.

--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"auburnladder.example/core/release"
+	"auburnladder.example/core/responsehead"
 )
 
 // ErrNotFound is returned for a key without a value.
@@ -110,9 +111,28 @@
 		return Value{}, fmt.Errorf("platform read: %w", err)
 	}
 	defer resp.Body.Close()
+	if err := checkHead(resp); err != nil {
+		return Value{}, fmt.Errorf("platform read: %w", err)
+	}
 	return readValue(resp)
 }
 
+// checkHead returns an error if the head of a response is malformed. net/http takes any version of HTTP with two
+// digits, any status of three digits, and blanks in field names. It joins folded lines, which can't be told here.
+func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 || resp.ProtoMinor > 1 || !responsehead.ValidStatus(resp.StatusCode) {
+		return fmt.Errorf("malformed status line %.64q", resp.Proto+" "+resp.Status)
+	}
+	for name, values := range resp.Header {
+		for _, value := range values {
+			if !responsehead.ValidField(name, value) {
+				return fmt.Errorf("malformed field %.64q", name)
+			}
+		}
+	}
+	return nil
+}
+
 func readValue(resp *http.Response) (Value, error) {
 	switch resp.StatusCode {
 	case http.StatusOK:
