--- a/node/proxy/egress/bench_test.go
+++ b/node/proxy/egress/bench_test.go
@@ -1,6 +1,10 @@
 package egress
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 
 	"auburnladder.example/core/workload"
@@ -28,6 +32,14 @@
 		}
 	})
 	b.Run("egress", func(b *testing.B) { benchmarkEgress(b, newEgressRig(newRawServer(serveOK))) })
+	b.Run("egress-chunked", func(b *testing.B) {
+		chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+		benchmarkEgress(b, newEgressRig(newRawServer(func(conn net.Conn, _ *bufio.Reader, req *http.Request) bool {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, chunked)
+			return true
+		})))
+	})
 	b.Run("egress-tracking-work", func(b *testing.B) {
 		r := newEgressRig(newRawServer(serveOK))
 		r.egress.TrackWork(workload.NewEstimator())
--- a/node/proxy/egress/egress.go
+++ b/node/proxy/egress/egress.go
@@ -79,6 +79,8 @@
 	// link. responseSizes holds the mean size of buffered responses for each route.
 	linkWindow    *transfer.Window
 	responseSizes routeResponseSizes
+	// relayBuffers holds the buffers of response bodies that are sent as they are read, as *[]byte.
+	relayBuffers sync.Pool
 	// work is nil unless TrackWork was called.
 	work *serverWork
 	// uploads are the accepted request bodies that were announced before they are sent.
--- a/node/proxy/egress/response.go
+++ b/node/proxy/egress/response.go
@@ -135,7 +135,9 @@
 // only before finishResponse, when the connection is still in use.
 func (x *exchange) relayStreaming(ctx context.Context, conn *serverConn, resp *fasthttp.Response, head *peerpb.Reply, body io.Reader, stop func() bool) error {
 	head.More = true
-	buf := make([]byte, x.egress.cfg.ChunkBytes)
+	buffer := x.egress.relayBuffer()
+	defer x.egress.relayBuffers.Put(buffer)
+	buf := *buffer
 	var total int64
 	var last []byte
 	x.beginTransfer(max(0, resp.Header.ContentLength()))
@@ -162,6 +164,15 @@
 	return nil
 }
 
+// relayBuffer returns a buffer for the parts of a response body, to be put back to relayBuffers.
+func (e *Egress) relayBuffer() *[]byte {
+	if buffer, ok := e.relayBuffers.Get().(*[]byte); ok {
+		return buffer
+	}
+	buffer := make([]byte, e.cfg.ChunkBytes)
+	return &buffer
+}
+
 // checkBodyRead checks the result of one read from the response body, after total bytes.
 // err is the error of the read; io.EOF marks the end of the body. It returns an error if
 // the body is truncated or exceeds the size limit of the call.
