Name the error of a head or trailer section that is too large

The scanner waits for a whole section in the read buffer of 16 KiB, so that the log said "bufio: buffer full" where the parser had named the head. The caller's text names the reason now as well.

--- a/e2e/malformed_test.go
+++ b/e2e/malformed_test.go
@@ -100,8 +100,8 @@
 	complete bool
 }
 
-// call sends a request to a node and reads until the connection ends.
-func call(addr, method, host, version string) (a callerAnswer, err error) {
+// callOnce sends a request to a node and reads until the connection ends.
+func callOnce(addr, method, host, version string) (a callerAnswer, err error) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return a, err
@@ -142,7 +142,7 @@
 				text.Store(&bytes)
 				for method, host := range map[string]string{http.MethodGet: "files.example", http.MethodPost: "uploads.example"} {
 					for _, version := range []string{"1.1", "1.0"} {
-						a, err := call(c.VMs[0].CallerAddress(), method, host, version)
+						a, err := callOnce(c.VMs[0].CallerAddress(), method, host, version)
 						So(err, ShouldBeNil)
 						if !isExpected(a) {
 							wrong = append(wrong, fmt.Sprintf("%s to %s of HTTP/%s: %+v\n", name, method, version, a))
--- a/node/proxy/egress/read_response.go
+++ b/node/proxy/egress/read_response.go
@@ -13,6 +13,8 @@
 // whole read buffer.
 const maxErrorText = 256
 
+var errSectionTooLarge = errors.New("head or trailer section of the response exceeds the read buffer")
+
 // headError is an error in the head of a response. Its text may quote what the server sent, and is only
 // for logs.
 type headError struct{ cause error }
@@ -56,8 +58,8 @@
 	return nil
 }
 
-// peekSection waits until br holds the whole section that s scans. It fails at the first malformed byte, and
-// consumes nothing.
+// peekSection waits until br holds the whole section that s scans. It fails at the first malformed byte and on a
+// section larger than the buffer of br, and consumes nothing.
 func peekSection(br *bufio.Reader, s *responsehead.Scanner) error {
 	for scanned := 0; ; {
 		b, _ := br.Peek(br.Buffered())
@@ -70,7 +72,9 @@
 			return nil
 		}
 		scanned += n
-		if _, err := br.Peek(scanned + 1); err != nil {
+		if _, err := br.Peek(scanned + 1); errors.Is(err, bufio.ErrBufferFull) {
+			return errSectionTooLarge
+		} else if err != nil {
 			return err
 		}
 	}
@@ -91,7 +95,7 @@
 	}
 	for _, known := range []error{
 		errCallerEndedCall, errMismatchedResponse, errMissingSeal, errEncodedBody, errUnknownLength,
-		errResponseTooLarge,
+		errResponseTooLarge, errSectionTooLarge,
 	} {
 		if errors.Is(err, known) {
 			return known.Error()
