Require a 502 for each malformed head in the test with real processes

TestMalformedAnswersDoNotReachCallers also passed if a caller got no answer at all. For a malformed head the caller must get a complete 502 now; only an answer whose body or trailer section is malformed may be cut.

--- a/e2e/malformed_test.go
+++ b/e2e/malformed_test.go
@@ -40,21 +40,37 @@
 	"interim answers": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + answerFields + sizedBody,
 }
 
-// malformedAnswers are answers that no caller may get.
-var malformedAnswers = map[string]string{
-	"status 000":                 "HTTP/1.1 000 OK\r\n" + answerFields + sizedBody,
-	"blank in a name":            "HTTP/1.1 200 OK\r\nX Bad: y\r\n" + answerFields + sizedBody,
-	"blank behind a name":        "HTTP/1.1 200 OK\r\nX-Bad : y\r\n" + answerFields + sizedBody,
-	"blank before a name":        "HTTP/1.1 200 OK\r\n" + answerFields + " X-Bad: y\r\n" + sizedBody,
-	"tab in a name":              "HTTP/1.1 200 OK\r\nX\tBad: y\r\n" + answerFields + sizedBody,
-	"NUL in a name":              "HTTP/1.1 200 OK\r\nX\x00Bad: y\r\n" + answerFields + sizedBody,
-	"escape in a name":           "HTTP/1.1 200 OK\r\nX\x1bBad: y\r\n" + answerFields + sizedBody,
-	"DEL in a name":              "HTTP/1.1 200 OK\r\nX\x7fBad: y\r\n" + answerFields + sizedBody,
-	"carriage return in a name":  "HTTP/1.1 200 OK\r\nX\rBad: y\r\n" + answerFields + sizedBody,
-	"no name":                    "HTTP/1.1 200 OK\r\n: y\r\n" + answerFields + sizedBody,
-	"control byte in a value":    "HTTP/1.1 200 OK\r\nX-Bad: y\x01\r\n" + answerFields + sizedBody,
-	"blank in the length":        "HTTP/1.1 200 OK\r\n" + answerFields + "Content Length: 5\r\n\r\nhello and more",
-	"blank in the encoding":      "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(chunkedBody, "-", " ", 1),
+// malformedHeads are answers that no caller may get any part of.
+var malformedHeads = map[string]string{
+	"status 000":                "HTTP/1.1 000 OK\r\n" + answerFields + sizedBody,
+	"blank in a name":           "HTTP/1.1 200 OK\r\nX Bad: y\r\n" + answerFields + sizedBody,
+	"blank behind a name":       "HTTP/1.1 200 OK\r\nX-Bad : y\r\n" + answerFields + sizedBody,
+	"blank before a name":       "HTTP/1.1 200 OK\r\n" + answerFields + " X-Bad: y\r\n" + sizedBody,
+	"tab in a name":             "HTTP/1.1 200 OK\r\nX\tBad: y\r\n" + answerFields + sizedBody,
+	"NUL in a name":             "HTTP/1.1 200 OK\r\nX\x00Bad: y\r\n" + answerFields + sizedBody,
+	"escape in a name":          "HTTP/1.1 200 OK\r\nX\x1bBad: y\r\n" + answerFields + sizedBody,
+	"DEL in a name":             "HTTP/1.1 200 OK\r\nX\x7fBad: y\r\n" + answerFields + sizedBody,
+	"carriage return in a name": "HTTP/1.1 200 OK\r\nX\rBad: y\r\n" + answerFields + sizedBody,
+	"no name":                   "HTTP/1.1 200 OK\r\n: y\r\n" + answerFields + sizedBody,
+	"control byte in a value":   "HTTP/1.1 200 OK\r\nX-Bad: y\x01\r\n" + answerFields + sizedBody,
+	"blank in the length":       "HTTP/1.1 200 OK\r\n" + answerFields + "Content Length: 5\r\n\r\nhello and more",
+	"blank in the encoding":     "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(chunkedBody, "-", " ", 1),
+	"chunks of HTTP/1.0":        strings.Replace(chunkedAnswer, "HTTP/1.1", "HTTP/1.0", 1) + "\r\n",
+	"length in HTTP/1.0 chunks": "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n" + answerFields + chunks + "\r\n",
+	"two lengths":               "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + answerFields + sizedBody,
+	"length with a sign":        "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "+5", 1),
+	"length that is no number":  "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "5 5", 1),
+	"empty length":              "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "", 1),
+	"huge length":               "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "18446744073709551621", 1),
+	"unknown encoding":          "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(chunks, "chunked", "gzip", 1) + "\r\n",
+	"encoding named twice":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + answerFields + chunks + "\r\n",
+	"interim answer":            "HTTP/1.1 103 X\r\nX Bad: y\r\n\r\nHTTP/1.1 200 OK\r\n" + answerFields + sizedBody,
+	"failure":                   "HTTP/1.1 500 X\r\nX Bad: y\r\n" + answerFields + sizedBody,
+	"not executed":              "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX Bad: y\r\n" + answerFields + sizedBody,
+}
+
+// malformedBodies are answers whose body or trailer section is malformed. A caller may get their beginning.
+var malformedBodies = map[string]string{
 	"blank in a trailer name":    chunkedAnswer + "X Bad: y\r\n\r\n",
 	"blank behind a trailer":     chunkedAnswer + "X-Bad : y\r\n\r\n",
 	"blank before a trailer":     chunkedAnswer + "X-Good: y\r\n X-Bad: y\r\n\r\n",
@@ -66,18 +82,6 @@
 	"negative size":              strings.Replace(chunkedAnswer, "5\r\n", "-5\r\n", 1) + "\r\n",
 	"blank before a size":        strings.Replace(chunkedAnswer, "5\r\n", " 5\r\n", 1) + "\r\n",
 	"chunk longer than its size": strings.Replace(chunkedAnswer, "5\r\n", "4\r\n", 1) + "\r\n",
-	"chunks of HTTP/1.0":         strings.Replace(chunkedAnswer, "HTTP/1.1", "HTTP/1.0", 1) + "\r\n",
-	"length in HTTP/1.0 chunks":  "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n" + answerFields + chunks + "\r\n",
-	"two lengths":                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + answerFields + sizedBody,
-	"length with a sign":         "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "+5", 1),
-	"length that is no number":   "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "5 5", 1),
-	"empty length":               "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "", 1),
-	"huge length":                "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(sizedBody, "5", "18446744073709551621", 1),
-	"unknown encoding":           "HTTP/1.1 200 OK\r\n" + answerFields + strings.Replace(chunks, "chunked", "gzip", 1) + "\r\n",
-	"encoding named twice":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + answerFields + chunks + "\r\n",
-	"interim answer":             "HTTP/1.1 103 X\r\nX Bad: y\r\n\r\nHTTP/1.1 200 OK\r\n" + answerFields + sizedBody,
-	"failure":                    "HTTP/1.1 500 X\r\nX Bad: y\r\n" + answerFields + sizedBody,
-	"not executed":               "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX Bad: y\r\n" + answerFields + sizedBody,
 }
 
 // sendRaw is an answer of a backend server that consists of the bytes of text, with the request ID filled in. The
@@ -123,7 +127,7 @@
 
 // Guards against an answer of a faulty server that callers take for an answer, with real nodes between them.
 func TestMalformedAnswersDoNotReachCallers(t *testing.T) {
-	Convey("Callers get well-formed answers as they are and none of the malformed ones", t, func() {
+	Convey("Callers get well-formed answers as they are, and no malformed one as a complete answer", t, func() {
 		c := startStoreOf(t, "a", "b")
 		c.Store.Put("op/config", []byte(shortRoutes))
 		So(harness.Eventually("the routes are in force", func() error {
@@ -155,8 +159,10 @@
 		So(wrong(wellFormedAnswers, func(a callerAnswer) bool {
 			return a == callerAnswer{http.StatusOK, "s", "hello", true}
 		}), ShouldBeEmpty)
-		So(wrong(malformedAnswers, func(a callerAnswer) bool {
-			return !a.complete || a.status == http.StatusBadGateway && a.seal == "" && !strings.Contains(a.body, "hello")
-		}), ShouldBeEmpty)
+		isRefused := func(a callerAnswer) bool {
+			return a.complete && a.status == http.StatusBadGateway && a.seal == "" && !strings.Contains(a.body, "hello")
+		}
+		So(wrong(malformedHeads, isRefused), ShouldBeEmpty)
+		So(wrong(malformedBodies, func(a callerAnswer) bool { return !a.complete || isRefused(a) }), ShouldBeEmpty)
 	})
 }
