Run the simulations of admission and distribution on one virtual clock

Cause: the clock of the load tests stood a second time in fairness_test.go and a third time in the network of the distribution tests, each with a heap of its own. It lay in a package that imports admission, so that tests within admission could not use it.

Change: core/virtualtime, which imports nothing of ours; Advance runs what is due up to and including a time, as the network did. Functions of the same time run in the order in which they were scheduled; the fairness tests left that to the heap. No check changed.

--- a/core/admission/fairness_test.go
+++ b/core/admission/fairness_test.go
@@ -1,40 +1,19 @@
 package admission
 
 import (
-	"container/heap"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/virtualtime"
 )
 
-// event is a function to run at a virtual time.
-type event struct {
-	at time.Time
-	fn func(now time.Time)
-}
-
-// events is a heap of events ordered by time.
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // simulation runs a Limiter and its server in virtual time.
 type simulation struct {
-	l      *Limiter
-	events events
+	l     *Limiter
+	clock virtualtime.Clock
 	// serve returns the service time of a request, and whether the server sheds it.
 	serve     func(now time.Time, working int) (time.Duration, bool)
 	working   int
@@ -50,11 +29,14 @@
 
 func newSimulation(cfg Config) *simulation {
 	r := &simulation{l: New(cfg, epoch), completed: make(map[string]int)}
+	r.clock.OnEvent = func() { r.startGranted(r.clock.Now) }
 	r.serve = func(time.Time, int) (time.Duration, bool) { return 10 * time.Millisecond, false }
 	return r
 }
 
-func (r *simulation) schedule(t time.Time, f func(time.Time)) { heap.Push(&r.events, event{t, f}) }
+func (r *simulation) schedule(t time.Time, f func(time.Time)) {
+	r.clock.At(t, func() { f(r.clock.Now) })
+}
 
 // offer schedules a request of a caller at each interval until the given time. Each
 // request has timeout until its deadline.
@@ -85,13 +67,7 @@
 	})
 }
 
-func (r *simulation) runUntil(until time.Duration) {
-	for len(r.events) > 0 && r.events[0].at.Before(epoch.Add(until)) {
-		e := heap.Pop(&r.events).(event)
-		e.fn(e.at)
-		r.startGranted(e.at)
-	}
-}
+func (r *simulation) runUntil(until time.Duration) { r.clock.Run(epoch.Add(until)) }
 
 func (r *simulation) startGranted(now time.Time) {
 	undecided := r.waiting[:0]
--- a/core/admission/loadtest/fleet.go
+++ b/core/admission/loadtest/fleet.go
@@ -13,6 +13,7 @@
 	"auburnladder.example/core/release"
 	"auburnladder.example/core/routing"
 	"auburnladder.example/core/routing/p2c"
+	"auburnladder.example/core/virtualtime"
 )
 
 // Fleet is a service with several servers that are used by several ingresses.
@@ -72,7 +73,7 @@
 
 type fleetPlayer struct {
 	Fleet
-	clock   *Clock
+	clock   *virtualtime.Clock
 	rnd     *rand.Rand
 	source  rand.Source
 	servers []*fleetServer
@@ -82,7 +83,7 @@
 
 // fleetServer is one server with its node.
 type fleetServer struct {
-	clock   *Clock
+	clock   *virtualtime.Clock
 	limiter *admission.Limiter
 	factor  float64
 	waiting []fleetWaiter
@@ -101,7 +102,7 @@
 
 func (f Fleet) newPlayer(seed uint64) *fleetPlayer {
 	source := rand.NewPCG(seed, 1)
-	p := &fleetPlayer{Fleet: f, clock: &Clock{Now: Epoch}, source: source, rnd: rand.New(source)}
+	p := &fleetPlayer{Fleet: f, clock: &virtualtime.Clock{Now: Epoch}, source: source, rnd: rand.New(source)}
 	p.report.Routes = make(map[string]*Result)
 	list := make([]routing.Server, f.Servers)
 	for i := range list {
--- a/core/admission/loadtest/loadtest.go
+++ b/core/admission/loadtest/loadtest.go
@@ -9,6 +9,7 @@
 
 	"auburnladder.example/core/admission"
 	"auburnladder.example/core/mesh"
+	"auburnladder.example/core/virtualtime"
 )
 
 // Route is one stream of requests with Poisson arrivals.
@@ -121,7 +122,7 @@
 const tickInterval = 100 * time.Millisecond
 
 type player struct {
-	*Clock
+	*virtualtime.Clock
 	limiter *admission.Limiter
 	waiting []waiting
 	used    float64
@@ -137,7 +138,7 @@
 }
 
 func newPlayer(cfg admission.Config, slots int) *player {
-	p := &player{Clock: &Clock{Now: Epoch}, limiter: admission.New(cfg, Epoch)}
+	p := &player{Clock: &virtualtime.Clock{Now: Epoch}, limiter: admission.New(cfg, Epoch)}
 	p.OnAdvance, p.OnEvent = p.countUse, p.settle
 	p.report.Routes = make(map[string]*Result)
 	p.limiter.SetServer(Epoch, mesh.Server{Slots: slots, Connections: slots + 500})
--- a/core/distribution/network_test.go
+++ b/core/distribution/network_test.go
@@ -1,7 +1,6 @@
 package distribution
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"time"
 
 	"auburnladder.example/core/release"
+	"auburnladder.example/core/virtualtime"
 	"auburnladder.example/core/vmlist"
 )
 
@@ -19,12 +19,10 @@
 	fixture *fixture
 	cfg     Config
 	rng     *rand.Rand
-	now     time.Time
-	queue   taskQueue
-	lastSeq int
-	vms     []vmlist.VM
-	nodes   map[string]*node
-	source  platform
+	virtualtime.Clock
+	vms    []vmlist.VM
+	nodes  map[string]*node
+	source platform
 	// loss and duplicates are the probabilities that a message is lost or duplicated.
 	loss       float64
 	duplicates float64
@@ -71,36 +69,9 @@
 	trace []timedEvent
 }
 
-// scheduledTask is a function to run at a point in virtual time.
-type scheduledTask struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-// taskQueue is a heap of tasks ordered by time, then by the order in which they were
-// scheduled.
-type taskQueue []scheduledTask
-
-func (s taskQueue) Len() int { return len(s) }
-func (s taskQueue) Less(i, j int) bool {
-	if !s[i].at.Equal(s[j].at) {
-		return s[i].at.Before(s[j].at)
-	}
-	return s[i].seq < s[j].seq
-}
-func (s taskQueue) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *taskQueue) Push(x any)   { *s = append(*s, x.(scheduledTask)) }
-func (s *taskQueue) Pop() any {
-	old := *s
-	last := old[len(old)-1]
-	*s = old[:len(old)-1]
-	return last
-}
-
 func newNetwork(t testing.TB, cfg Config, vms []vmlist.VM, seed uint64) *network {
 	n := &network{
-		t: t, fixture: newFixture(), cfg: cfg, now: epoch, vms: vms,
+		t: t, fixture: newFixture(), cfg: cfg, Clock: virtualtime.Clock{Now: epoch}, vms: vms,
 		rng:         rand.New(rand.NewPCG(seed, 7)),
 		nodes:       make(map[string]*node),
 		partitioned: make(map[string]bool),
@@ -119,29 +90,12 @@
 	return n
 }
 
-// schedule runs a task after the delay d.
-func (n *network) schedule(d time.Duration, run func()) {
-	n.lastSeq++
-	heap.Push(&n.queue, scheduledTask{at: n.now.Add(d), seq: n.lastSeq, run: run})
-}
-
-// run advances virtual time by d and runs the tasks that become due.
-func (n *network) run(d time.Duration) {
-	end := n.now.Add(d)
-	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
-		next := heap.Pop(&n.queue).(scheduledTask)
-		n.now = next.at
-		next.run()
-	}
-	n.now = end
-}
-
 // start begins a new incarnation of a node, which knows only the seeds.
 func (n *network) start(id string) {
 	x := n.nodes[id]
 	x.alive, x.paused, x.backlog = true, false, nil
 	x.incarnation++
-	x.startedAt = n.now
+	x.startedAt = n.Now
 	x.reports, x.applied = nil, nil
 	x.sessions, x.neighbours = make(map[string]bool), make(map[string]bool)
 	x.seed, x.trace = n.rng.Uint64(), nil
@@ -181,19 +135,19 @@
 
 func (n *network) pause(id string) {
 	n.nodes[id].paused = true
-	n.disturbedAt = n.now
+	n.disturbedAt = n.Now
 }
 
 // setPartitioned cuts a failure domain off from all others or heals the partition.
 func (n *network) setPartitioned(domain string, partitioned bool) {
 	n.partitioned[domain] = partitioned
-	n.disturbedAt = n.now
+	n.disturbedAt = n.Now
 }
 
 func (n *network) resume(id string) {
 	x := n.nodes[id]
 	x.paused = false
-	n.disturbedAt = n.now
+	n.disturbedAt = n.Now
 	backlog := x.backlog
 	x.backlog = nil
 	for _, ev := range backlog {
@@ -202,7 +156,7 @@
 }
 
 func (n *network) scheduleTick(x *node, incarnation int) {
-	n.schedule(n.cfg.TickInterval, func() {
+	n.After(n.cfg.TickInterval, func() {
 		if !x.alive || x.incarnation != incarnation {
 			return
 		}
@@ -238,7 +192,7 @@
 // deliver passes an event to the given incarnation of a node. A paused node receives it
 // when it resumes.
 func (n *network) deliver(x *node, incarnation int, ev Event) {
-	n.schedule(0, func() {
+	n.After(0, func() {
 		switch {
 		case !x.alive || x.incarnation != incarnation:
 		case x.paused:
@@ -264,7 +218,7 @@
 		if n.rng.IntN(20) == 0 {
 			delay += time.Duration(n.rng.Int64N(int64(time.Second)))
 		}
-		n.schedule(delay, func() { n.deliver(to, incarnation, ev) })
+		n.After(delay, func() { n.deliver(to, incarnation, ev) })
 	}
 }
 
@@ -280,7 +234,7 @@
 	if n.rng.Float64() < n.loss {
 		return
 	}
-	n.schedule(2*time.Millisecond, func() {
+	n.After(2*time.Millisecond, func() {
 		if y.alive && !y.paused && y.incarnation == yIncarnation && x.incarnation == xIncarnation {
 			n.send(y, x, reply(y))
 		}
@@ -290,8 +244,8 @@
 // step passes an event to the machine of a node, and checks and executes the actions.
 func (n *network) step(x *node, ev Event) {
 	before := x.machine.Versions().Held
-	x.trace = append(x.trace, timedEvent{At: n.now.Sub(epoch), Event: ev})
-	actions := x.machine.Step(n.now, ev)
+	x.trace = append(x.trace, timedEvent{At: n.Now.Sub(epoch), Event: ev})
+	actions := x.machine.Step(n.Now, ev)
 	for _, a := range actions {
 		n.checkInvariants(x, before, a)
 		n.execute(x, a)
@@ -346,14 +300,14 @@
 // readSource starts a call to the platform. A watch waits until the revision differs or
 // WatchWait has passed.
 func (n *network) readSource(x *node, a ReadSource) {
-	n.source.reads = append(n.source.reads, n.now)
-	n.respondToSourceCall(x, x.incarnation, a, n.now.Add(n.cfg.WatchWait))
+	n.source.reads = append(n.source.reads, n.Now)
+	n.respondToSourceCall(x, x.incarnation, a, n.Now.Add(n.cfg.WatchWait))
 }
 
 // respondToSourceCall delivers the response of the platform, or checks again after 20 ms
 // if a watch has no change to report.
 func (n *network) respondToSourceCall(x *node, incarnation int, a ReadSource, end time.Time) {
-	n.schedule(2*time.Millisecond, func() {
+	n.After(2*time.Millisecond, func() {
 		s := &n.source
 		ev := SourceValue{Call: a.Call, Key: a.Key}
 		switch a.Key {
@@ -367,8 +321,8 @@
 		switch {
 		case s.down:
 			n.deliver(x, incarnation, SourceFailed{Call: a.Call, Key: a.Key})
-		case a.Wait && ev.Revision == a.After && n.now.Before(end):
-			n.schedule(20*time.Millisecond, func() { n.respondToSourceCall(x, incarnation, a, end) })
+		case a.Wait && ev.Revision == a.After && n.Now.Before(end):
+			n.After(20*time.Millisecond, func() { n.respondToSourceCall(x, incarnation, a, end) })
 		case a.Wait && ev.Revision == a.After:
 			n.deliver(x, incarnation, SourceValue{Call: a.Call, Key: a.Key, Unchanged: true})
 		default:
@@ -399,7 +353,7 @@
 }
 
 func (n *network) addFailure(x *node, format string, args ...any) {
-	n.failures = append(n.failures, fmt.Sprintf("%s %s: ", n.now.Sub(epoch), x.vm.ID)+fmt.Sprintf(format, args...))
+	n.failures = append(n.failures, fmt.Sprintf("%s %s: ", n.Now.Sub(epoch), x.vm.ID)+fmt.Sprintf(format, args...))
 }
 
 // checkInvariants records a failure if the action violates an invariant: an applied
@@ -461,7 +415,7 @@
 		if n.converged(v) {
 			return true
 		}
-		n.run(100 * time.Millisecond)
+		n.Advance(100 * time.Millisecond)
 	}
 	return false
 }
--- a/core/distribution/property_test.go
+++ b/core/distribution/property_test.go
@@ -50,7 +50,7 @@
 func (h *faultRun) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"": func(t *rapid.T) {
-			h.run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			h.Advance(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
 			if len(h.failures) > 0 {
 				t.Fatalf("%v", h.failures)
 			}
@@ -92,7 +92,7 @@
 		},
 		"loss": func(t *rapid.T) {
 			h.loss = rapid.SampledFrom([]float64{0, 0.01, maxToleratedLoss, 0.9}).Draw(t, "loss")
-			h.disturbedAt = h.now
+			h.disturbedAt = h.Now
 		},
 		"pause": func(t *rapid.T) { h.pause(h.drawNode(t).vm.ID) },
 		"resume": func(t *rapid.T) {
@@ -108,7 +108,7 @@
 func (h *faultRun) clearFaults() {
 	h.source.down = false
 	h.loss = min(h.loss, maxToleratedLoss)
-	h.disturbedAt = h.now
+	h.disturbedAt = h.Now
 	for _, vm := range h.vms {
 		x := h.nodes[vm.ID]
 		h.setPartitioned(vm.Domain, false)
@@ -137,7 +137,7 @@
 				h.publishNext(rt)
 			}
 			for i := 0; i < 120 && !h.converged(h.newestHeld()); i++ {
-				h.run(500 * time.Millisecond)
+				h.Advance(500 * time.Millisecond)
 			}
 			if len(h.failures) > 0 {
 				rt.Fatalf("%v", h.failures)
--- a/core/distribution/scenario_test.go
+++ b/core/distribution/scenario_test.go
@@ -29,14 +29,14 @@
 		n.publish(b)
 		So(n.waitConverged(b.version), ShouldBeTrue)
 		n.setSourceValue(old.value)
-		n.run(time.Second)
+		n.Advance(time.Second)
 
 		Convey("nodes that restart one after the other never activate 12", func() {
 			for _, vm := range n.vms {
 				n.kill(vm.ID)
-				n.run(500 * time.Millisecond)
+				n.Advance(500 * time.Millisecond)
 				n.start(vm.ID)
-				n.run(5 * time.Second)
+				n.Advance(5 * time.Second)
 				So(n.nodes[vm.ID].applied, ShouldResemble, []release.Version{b.version})
 			}
 			So(n.failures, ShouldBeEmpty)
@@ -67,9 +67,9 @@
 				n.pause(vm.ID)
 			}
 			n.start(x.vm.ID)
-			n.run(n.cfg.StartAloneWait - time.Second)
+			n.Advance(n.cfg.StartAloneWait - time.Second)
 			So(x.applied, ShouldBeEmpty)
-			n.run(5 * time.Second)
+			n.Advance(5 * time.Second)
 			So(x.applied, ShouldResemble, []release.Version{old.version})
 			So(x.hasReported(ReportStartedAlone), ShouldBeTrue)
 		})
@@ -134,13 +134,13 @@
 		n.pause(x.vm.ID)
 		b := n.fixture.build(13, old.version.Digest, 13)
 		n.publish(b)
-		n.run(30 * time.Second)
+		n.Advance(30 * time.Second)
 		b = n.fixture.build(14, b.version.Digest, 14)
 		n.publish(b)
-		n.run(30 * time.Second)
+		n.Advance(30 * time.Second)
 
 		Convey("it resyncs before it announces its versions or serves again", func() {
-			actions := x.machine.Step(n.now, Tick{})
+			actions := x.machine.Step(n.Now, Tick{})
 			phase, found := findAction[SetPhase](actions)
 			So(found, ShouldBeTrue)
 			So(phase.Phase, ShouldEqual, PhaseResyncing)
@@ -164,7 +164,7 @@
 	Convey("Given active release 12", t, func() {
 		n, old := newConvergedNetwork(t, 3)
 		expectUnchanged := func() {
-			n.run(20 * time.Second)
+			n.Advance(20 * time.Second)
 			So(n.converged(old.version), ShouldBeTrue)
 			So(n.failures, ShouldBeEmpty)
 		}
@@ -188,7 +188,7 @@
 			m := n.nodes[n.vms[0].ID].machine
 			for i := range 300 {
 				b := n.fixture.build(uint64(100+i), old.version.Digest, i)
-				m.Step(n.now, ManifestReceived{Peer: n.vms[1].ID, Approved: b.withInvalidSignature()})
+				m.Step(n.Now, ManifestReceived{Peer: n.vms[1].ID, Approved: b.withInvalidSignature()})
 			}
 			So(len(m.refusals), ShouldEqual, maxRefusals)
 			So(len(m.candidates), ShouldBeLessThanOrEqualTo, maxCandidates)
@@ -203,7 +203,7 @@
 			So(err, ShouldBeNil)
 			d := release.NewDelta(base, target)
 			d.Approvals = b.withInvalidSignature().Approvals
-			report, found := findAction[Report](m.Step(n.now, ManifestReceived{Peer: n.vms[1].ID, Delta: d}))
+			report, found := findAction[Report](m.Step(n.Now, ManifestReceived{Peer: n.vms[1].ID, Delta: d}))
 			So(found, ShouldBeTrue)
 			So(report.Kind, ShouldEqual, ReportRefused)
 			So(m.Versions().Held, ShouldResemble, old.version)
@@ -234,9 +234,9 @@
 			n.publish(b)
 			So(n.waitConverged(b.version), ShouldBeTrue)
 			n.setSourceValue(nil)
-			n.run(time.Second)
+			n.Advance(time.Second)
 			n.setSourceValue(old.value)
-			n.run(20 * time.Second)
+			n.Advance(20 * time.Second)
 			So(n.converged(b.version), ShouldBeTrue)
 			So(n.anyNodeReported(ReportWithdrawn), ShouldBeTrue)
 			So(n.anyNodeReported(ReportSourceBehind), ShouldBeTrue)
@@ -252,11 +252,11 @@
 		a, b := n.fixture.build(13, old.version.Digest, 1), n.fixture.build(13, old.version.Digest, 2)
 		n.setPartitioned("d0", true)
 		n.publish(a)
-		n.run(2 * time.Second)
+		n.Advance(2 * time.Second)
 		n.setPartitioned("d0", false)
 		n.setPartitioned("d1", true)
 		n.publish(b)
-		n.run(2 * time.Second)
+		n.Advance(2 * time.Second)
 		n.setPartitioned("d1", false)
 		winner := newConflict(a.version, b.version, true).Winner
 		So(n.waitConverged(winner), ShouldBeTrue)
@@ -281,7 +281,7 @@
 		b := n.fixture.build(13, old.version.Digest, 13)
 		n.loss = 1
 		n.publish(b)
-		n.run(500 * time.Millisecond)
+		n.Advance(500 * time.Millisecond)
 		So(n.newestHeld(), ShouldResemble, b.version)
 		So(n.converged(b.version), ShouldBeFalse)
 		n.source.down = true
--- a/core/distribution/trace_test.go
+++ b/core/distribution/trace_test.go
@@ -142,24 +142,24 @@
 		n, old := newConvergedNetwork(t, 11)
 		b := n.fixture.build(13, old.version.Digest, 13)
 		n.publish(b)
-		n.run(time.Second)
+		n.Advance(time.Second)
 		n.setSourceValue(old.value)
 		x := n.nodes[Readers(n.vms, "d1", 1)[0]]
 		n.kill(x.vm.ID)
 		n.start(x.vm.ID)
-		n.run(8 * time.Second)
+		n.Advance(8 * time.Second)
 		return x
 	}},
 	{"paused-reader", func(t *testing.T) *node {
 		n, old := newConvergedNetwork(t, 12)
 		x := n.nodes[Readers(n.vms, "d2", 1)[0]]
-		n.run(time.Second)
+		n.Advance(time.Second)
 		n.pause(x.vm.ID)
 		b := n.fixture.build(13, old.version.Digest, 13)
 		n.publish(b)
-		n.run(60 * time.Second)
+		n.Advance(60 * time.Second)
 		n.resume(x.vm.ID)
-		n.run(5 * time.Second)
+		n.Advance(5 * time.Second)
 		return x
 	}},
 	{"cut-twice-with-conflict", func(t *testing.T) *node {
@@ -172,9 +172,9 @@
 		for _, r := range []*testRelease{b, a} {
 			n.setPartitioned("d0", true)
 			n.publish(r)
-			n.run(2 * time.Second)
+			n.Advance(2 * time.Second)
 			n.setPartitioned("d0", false)
-			n.run(2 * time.Second)
+			n.Advance(2 * time.Second)
 		}
 		return x
 	}},
@@ -182,19 +182,19 @@
 		n, old := newConvergedNetwork(t, 14)
 		x := n.nodes[Readers(n.vms, "d3", 1)[0]]
 		n.setSourceValue(encode(n.fixture.build(13, old.version.Digest, 1).withInvalidSignature()))
-		n.run(time.Second)
+		n.Advance(time.Second)
 		b := n.fixture.buildDangling(14, 1)
 		n.source.chunks[b.manifest().Chunks[0].Digest] = b.allChunks()[0]
 		n.setSourceValue(b.value)
-		n.run(time.Second)
+		n.Advance(time.Second)
 		b = n.fixture.build(15, old.version.Digest, 15)
 		n.releases[b.version] = b
 		n.setSourceValue(b.value)
-		n.run(2 * time.Second)
+		n.Advance(2 * time.Second)
 		n.publish(b)
-		n.run(15 * time.Second)
+		n.Advance(15 * time.Second)
 		n.setSourceValue(nil)
-		n.run(time.Second)
+		n.Advance(time.Second)
 		return x
 	}},
 }
--- a/core/routing/shortestdelay/load_test.go
+++ b/core/routing/shortestdelay/load_test.go
@@ -14,6 +14,7 @@
 	"auburnladder.example/core/routing/p2c"
 	"auburnladder.example/core/routing/shortestdelay"
 	"auburnladder.example/core/steady"
+	"auburnladder.example/core/virtualtime"
 	"auburnladder.example/core/workload"
 )
 
@@ -107,7 +108,7 @@
 type simulation struct {
 	scenario
 	newPolicy bool
-	loadtest.Clock
+	virtualtime.Clock
 	rnd       *rand.Rand // of the load, the same for each policy
 	picks     *rand.PCG
 	ingresses []*ingress
@@ -132,7 +133,7 @@
 // simulate runs a scenario with p2c or the policy of this package.
 func simulate(t testing.TB, sc scenario, newPolicy bool) result {
 	s := &simulation{
-		scenario: sc, newPolicy: newPolicy, Clock: loadtest.Clock{Now: start}, since: start,
+		scenario: sc, newPolicy: newPolicy, Clock: virtualtime.Clock{Now: start}, since: start,
 		rnd: rand.New(rand.NewPCG(sc.seed, 11)), picks: rand.NewPCG(1, 2),
 		servers: make(map[string]*server), window: make(map[*server]int),
 	}
--- a/core/admission/loadtest/clock.go
+++ b/core/virtualtime/clock.go
@@ -1,4 +1,5 @@
-package loadtest
+// Package virtualtime runs functions in virtual time, for simulations that take no real time.
+package virtualtime
 
 import (
 	"container/heap"
@@ -42,6 +43,14 @@
 	}
 }
 
+// Advance runs the functions that are due within d from now, also those that are scheduled meanwhile, and moves
+// Now by d.
+func (c *Clock) Advance(d time.Duration) {
+	end := c.Now.Add(d)
+	c.Run(end.Add(1))
+	c.Now = end
+}
+
 // event is a function that runs at a virtual time.
 type event struct {
 	at       time.Time
