--- a/e2e/endless_test.go
+++ b/e2e/endless_test.go
@@ -13,7 +13,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/sourcegraph/conc"
 
-	"auburnladder.example/e2e/harness"
 	"auburnladder.example/platform/standin"
 )
 
@@ -62,16 +61,8 @@
 // Guards against nodes that keep the bytes of a faulty server, and the process that ends with all its requests for want of memory.
 func TestBytesWithoutEndFitTheMemory(t *testing.T) {
 	Convey("Nodes stay within their memory, whatever a server sends without end and whichever protocol version the caller speaks", t, func() {
-		c := startStoreOf(t, "a", "b")
-		c.Store.Put("op/config", []byte(shortRoutes))
+		c := startShortRoutes(t)
 		var text atomic.Pointer[[2]string]
-		So(harness.Eventually("the routes are in force", func() error {
-			resp, err := c.Send(c.VMs[0], http.MethodGet, "files.example", "/", "first")
-			if err == nil && resp.StatusCode != http.StatusOK {
-				err = fmt.Errorf("status %d", resp.StatusCode)
-			}
-			return err
-		}), ShouldBeNil)
 		answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { flood(w, *text.Load()) })
 		c.VMs[1].Server.Answer.Store(&answer)
 		for name, bytes := range floods {
--- a/e2e/lifetime_test.go
+++ b/e2e/lifetime_test.go
@@ -37,6 +37,21 @@
 "services":{"columns":["name","maxConns"],"rows":[["a",20],["b",20]]},
 "limits":{"headerBytes":16384,"bodyBytes":4194304,"header":"3000ms","idle":"15000ms"}}`
 
+// startShortRoutes starts a caller's VM of service a and a server's VM of service b, in this order, and waits until
+// shortRoutes are in force.
+func startShortRoutes(t *testing.T) *harness.StoreCluster {
+	c := startStoreOf(t, "a", "b")
+	c.Store.Put("op/config", []byte(shortRoutes))
+	So(harness.Eventually("the routes are in force", func() error {
+		resp, err := c.Send(c.VMs[0], http.MethodGet, "files.example", "/", "first")
+		if err == nil && resp.StatusCode != http.StatusOK {
+			err = fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return err
+	}), ShouldBeNil)
+	return c
+}
+
 // party is one of those through whose hands a request goes.
 type party int
 
@@ -192,16 +207,8 @@
 // Guards against requests, and work at servers, that outlast their time-out because a party goes silent or sends without end.
 func TestNoPartyOutlastsARequest(t *testing.T) {
 	Convey("Whichever party goes silent or sends without end, the caller gets its answer or cut in time and the server's work ends", t, func() {
-		cluster := startStoreOf(t, "a", "b")
+		cluster := startShortRoutes(t)
 		g := &silentRig{StoreCluster: cluster, caller: cluster.VMs[0], server: cluster.VMs[1]}
-		g.Store.Put("op/config", []byte(shortRoutes))
-		So(harness.Eventually("the routes are in force", func() error {
-			resp, err := g.Send(g.caller, http.MethodGet, "files.example", "/", "first")
-			if err == nil && resp.StatusCode != http.StatusOK {
-				err = fmt.Errorf("status %d", resp.StatusCode)
-			}
-			return err
-		}), ShouldBeNil)
 		for i := range silentCases {
 			c := &silentCases[i]
 			late, ran, serverLate := g.play(c)
--- a/e2e/malformed_test.go
+++ b/e2e/malformed_test.go
@@ -13,7 +13,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"auburnladder.example/e2e/harness"
 	"auburnladder.example/platform/standin"
 )
 
@@ -128,15 +127,7 @@
 // Guards against an answer of a faulty server that callers take for an answer, with real nodes between them.
 func TestMalformedAnswersDoNotReachCallers(t *testing.T) {
 	Convey("Callers get well-formed answers as they are, and no malformed one as a complete answer", t, func() {
-		c := startStoreOf(t, "a", "b")
-		c.Store.Put("op/config", []byte(shortRoutes))
-		So(harness.Eventually("the routes are in force", func() error {
-			resp, err := c.Send(c.VMs[0], http.MethodGet, "files.example", "/", "first")
-			if err == nil && resp.StatusCode != http.StatusOK {
-				err = fmt.Errorf("status %d", resp.StatusCode)
-			}
-			return err
-		}), ShouldBeNil)
+		c := startShortRoutes(t)
 		var text atomic.Pointer[string]
 		answer := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { sendRaw(w, req, *text.Load()) })
 		c.VMs[1].Server.Answer.Store(&answer)
