Split the errors of the scanner; prove what larger sections and chunks get

Cause, found by reading the change again: newError did two things by a count that said which; the text of too many interim responses read "malformed sequence of interim responses, at ..."; errSectionTooLarge had no test of its own; the fuzz test compared heads read at once and byte by byte, but not bodies, although the reader of chunks is new.

Change: statusLineError and fieldError; "malformed excess interim response"; TestSectionLargerThanTheReadBuffer for heads and trailer sections; FuzzReadResponse reads the body too and must get the same from both.

--- a/core/responsehead/error.go
+++ b/core/responsehead/error.go
@@ -14,10 +14,10 @@
 // Parts of a response.
 const (
 	StatusLine Part = "status line"
-	// InterimHeads are more interim responses than MaxInterim.
-	InterimHeads Part = "sequence of interim responses, at"
-	Field        Part = "field"
-	Trailer      Part = "trailer field"
+	// ExcessInterim is an interim response after MaxInterim others.
+	ExcessInterim Part = "excess interim response"
+	Field         Part = "field"
+	Trailer       Part = "trailer field"
 )
 
 // Error reports a malformed response. Its text quotes the response, which may hold secrets of another one, and
@@ -34,21 +34,23 @@
 	return fmt.Sprintf("malformed %s %q", e.Part, e.Line)
 }
 
-// newError returns the error for the current line, whose kept part rest follows. The malformed byte is the last
-// of the first scanned bytes of rest.
-func (s *Scanner) newError(rest []byte, scanned int) *Error {
-	if s.part == "" {
-		s.keep(rest)
-		return &Error{Part: StatusLine, Line: cutLine(s.line[:s.lineLength], "\r\n")}
-	}
-	s.keep(rest[:scanned])
-	return &Error{Part: s.part, Line: cutLine(s.line[:s.lineLength], ":")}
+// statusLineError returns the error for the status line, whose kept part rest follows up to the end of the line.
+func (s *Scanner) statusLineError(rest []byte) *Error {
+	s.keep(rest)
+	return &Error{Part: StatusLine, Line: s.lineUpTo("\r\n")}
+}
+
+// fieldError returns the error for a field line, whose kept part rest follows up to the malformed byte.
+func (s *Scanner) fieldError(rest []byte) *Error {
+	s.keep(rest)
+	return &Error{Part: s.part, Line: s.lineUpTo(":")}
 }
 
-// cutLine returns the part of b before the first of the bytes in ends.
-func cutLine(b []byte, ends string) string {
-	if i := bytes.IndexAny(b, ends); i >= 0 {
-		b = b[:i]
+// lineUpTo returns the kept part of the line before the first of the bytes in ends.
+func (s *Scanner) lineUpTo(ends string) string {
+	line := s.line[:s.lineLength]
+	if i := bytes.IndexAny(line, ends); i >= 0 {
+		line = line[:i]
 	}
-	return string(b)
+	return string(line)
 }
--- a/core/responsehead/scanner.go
+++ b/core/responsehead/scanner.go
@@ -18,7 +18,7 @@
 type Scanner struct {
 	state state
 	kind  Kind
-	// part is the part that is scanned, "" for the status line.
+	// part is Field or Trailer; "" in the status line.
 	part Part
 	// http10 is set in a head of HTTP/1.0.
 	http10 bool
@@ -119,10 +119,13 @@
 		n++
 		switch next {
 		case malformed:
-			return n, s.newError(b[lineStart:], n-lineStart)
+			if s.part == "" {
+				return n, s.statusLineError(b[lineStart:])
+			}
+			return n, s.fieldError(b[lineStart:n])
 		case inValue:
 			if s.http10 && s.isTransferEncoding(b[lineStart:n-1]) {
-				return n, s.newError(b[lineStart:], n-lineStart)
+				return n, s.fieldError(b[lineStart:n])
 			}
 		case atLineStart:
 			lineStart, s.lineLength = n, 0
@@ -145,10 +148,10 @@
 		return len(b), nil
 	case Malformed:
 		n = s.lineLength - kept
-		return n, s.newError(b[n:], 0)
+		return n, s.statusLineError(b[n:])
 	default:
 		if kind == Interim && s.interim == MaxInterim {
-			return s.lineLength - kept, &Error{Part: InterimHeads, Line: string(s.line[:s.lineLength])}
+			return s.lineLength - kept, &Error{Part: ExcessInterim, Line: string(s.line[:s.lineLength])}
 		}
 		s.http10 = s.line[minorVersion] == '0'
 		// The last byte checked is the first one of the reason.
--- a/node/proxy/egress/read_response_test.go
+++ b/node/proxy/egress/read_response_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -37,11 +39,17 @@
 	} {
 		f.Add([]byte(head + "\r\nContent-Length: 2\r\nX-Seal: s\r\n\r\nhi"))
 	}
+	for _, chunks := range []string{
+		"2\r\nhi\r\n0\r\n\r\n", "2\r\nhi\r\n0\r\nA: b\r\n\r\n", "2\r\nhi\r\n0\r\nA b: c\r\n\r\n", "2\r\nhi\r\n0\r\nA : b\r\n\r\n", "2\r\nhi\r\n0\r\nA: b",
+		"2\nhi\r\n0\r\n\r\n", "2;a=b\r\nhi\r\n1\r\n!\r\n0\r\n\r\n", "3\r\nhi\r\n0\r\n\r\n", "x\r\n", "",
+	} {
+		f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks))
+	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		status, err := readFuzzed(bufio.NewReaderSize(bytes.NewReader(b), readBufferBytes))
-		slowStatus, slowErr := readFuzzed(bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(b)), readBufferBytes))
-		if (err == nil) != (slowErr == nil) || status != slowStatus {
-			t.Fatalf("%q: %d %v at once, %d %v byte by byte", b, status, err, slowStatus, slowErr)
+		status, body, err := readFuzzed(bufio.NewReaderSize(bytes.NewReader(b), readBufferBytes))
+		slowStatus, slowBody, slowErr := readFuzzed(bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(b)), readBufferBytes))
+		if (err == nil) != (slowErr == nil) || status != slowStatus || body != slowBody {
+			t.Fatalf("%q: %d %q %v at once, %d %q %v byte by byte", b, status, body, err, slowStatus, slowBody, slowErr)
 		}
 		if err == nil && !responsehead.ValidStatus(status) {
 			t.Fatalf("%q: status %d", b, status)
@@ -55,13 +63,18 @@
 	})
 }
 
-func readFuzzed(br *bufio.Reader) (int, error) {
+// readFuzzed reads a response with its body.
+func readFuzzed(br *bufio.Reader) (status int, body string, err error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	if err := readResponse(br, resp); err != nil {
-		return 0, err
+		return 0, "", err
 	}
-	return resp.StatusCode(), nil
+	if resp.BodyStream() == nil {
+		return resp.StatusCode(), "", nil
+	}
+	data, err := io.ReadAll(resp.BodyStream())
+	return resp.StatusCode(), string(data), err
 }
 
 // Guards against an allocation for each well-formed response.
@@ -94,6 +107,20 @@
 	}
 }
 
+// Guards against a head or a trailer section that is waited for without end, and a log that doesn't say what was too large.
+func TestSectionLargerThanTheReadBuffer(t *testing.T) {
+	fields := strings.Repeat("A: b\r\n", readBufferBytes)
+	for name, text := range map[string]string{
+		"head":            "HTTP/1.1 200 OK\r\n" + fields,
+		"trailer section": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields,
+	} {
+		Convey("It is an error of its own: "+name, t, func() {
+			_, _, err := readFuzzed(bufio.NewReaderSize(strings.NewReader(text), readBufferBytes))
+			So(errors.Is(err, errSectionTooLarge), ShouldBeTrue)
+		})
+	}
+}
+
 // Guards against a request of the node itself, such as a health check, that takes status 000 for 200.
 func TestNodeRequestsRejectMalformedResponses(t *testing.T) {
 	Convey("A malformed response to a request of the node is an error", t, func() {
