--- a/review/rig3/fields.go
+++ b/review/rig3/fields.go
@@ -51,6 +51,21 @@
 
 // manyFields: a crowd at one machine sends requests that are legal in size but made of very many short fields.
 func manyFields(r *record, trouble bool) (int, error) {
+	return memoryCase(r, func(target *machine, leave chan struct{}, crowd *sync.WaitGroup) {
+		if !trouble {
+			return
+		}
+		r.printf("a crowd of %d connections comes to %s; each sends %d GET requests with %d fields ahead, reads nothing, closes after %s and comes again", crowdConns, target.ip, sentAhead, shortFields, crowdStay)
+		fields := strings.Repeat("a:\r\n", shortFields)
+		for range crowdConns {
+			crowd.Go(func() { sendAhead(target, "topos.example", "/t/1", fields, 4*time.Second, crowdStay, leave) })
+		}
+	})
+}
+
+// memoryCase starts a deployment whose processes are killed above the memory of their machines, ordinary clients at one of
+// the machines and the crowd there, and judges the requests of the ordinary clients.
+func memoryCase(r *record, start func(target *machine, leave chan struct{}, crowd *sync.WaitGroup)) (int, error) {
 	c, err := startGrown()
 	if c != nil {
 		defer c.stop()
@@ -66,7 +81,7 @@
 	for i := range 24 {
 		k := &kept{addr: target.addr(callerPort), method: "GET", host: "fichas.example", path: "/f/1", deadline: 3 * time.Second, pause: 10 * time.Millisecond}
 		if i%3 == 0 {
-			k = &kept{addr: target.addr(callerPort), method: "POST", host: "cobro.example", path: "/c/1", body: strings.Repeat("c", 4000), deadline: 3 * time.Second, pause: 10 * time.Millisecond}
+			k.method, k.host, k.path, k.body = "POST", "cobro.example", "/c/1", strings.Repeat("c", 4000)
 		}
 		ordinary = append(ordinary, k)
 		clients.Go(func() { k.run("ordinary", stop) })
@@ -75,12 +90,7 @@
 	memory.Go(func() { c.watchMemory(r, stopMemory, peak, ends) })
 	time.Sleep(3 * time.Second)
 	leave := make(chan struct{})
-	if trouble {
-		r.printf("a crowd of %d connections comes to %s; each sends %d GET requests with %d fields ahead, reads nothing, closes after %s and comes again", crowdConns, target.ip, sentAhead, shortFields, crowdStay)
-		for range crowdConns {
-			crowd.Go(func() { sendFields(target, leave) })
-		}
-	}
+	start(target, leave, &crowd)
 	time.Sleep(crowdTime)
 	close(leave)
 	crowd.Wait()
@@ -93,10 +103,9 @@
 	return c.judgeKept(r, target, ordinary, peak, ends), nil
 }
 
-// sendFields sends requests with many short fields ahead on one connection, doesn't read the answers, closes the connection
-// after crowdStay and comes again, until leave is closed.
-func sendFields(m *machine, leave chan struct{}) {
-	fields := strings.Repeat("a:\r\n", shortFields)
+// sendAhead sends requests ahead on one connection, doesn't read the answers, closes the connection after stay and comes
+// again, until leave is closed.
+func sendAhead(m *machine, host, path, fields string, deadline, stay time.Duration, leave chan struct{}) {
 	for {
 		select {
 		case <-leave:
@@ -108,10 +117,10 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		end := time.Now().Add(crowdStay)
+		end := time.Now().Add(stay)
 		_ = conn.SetDeadline(end)
 		for range sentAhead {
-			if _, err = conn.Write([]byte(head("GET", "topos.example", "/t/1", newID("crowd"), 4*time.Second, -1, fields))); err != nil {
+			if _, err = conn.Write([]byte(head("GET", host, path, newID("crowd"), deadline, -1, fields))); err != nil {
 				break
 			}
 		}
--- a/review/rig3/malla.go
+++ b/review/rig3/malla.go
@@ -41,3 +41,44 @@
 	c.publish(3, "15000ms", grownRoutes())
 	return c, c.start()
 }
+
+// prod are the places of the deployment zaalwijzer-prod.
+var prod = []string{
+	"programma@a", "programma@b", "programma@c", "programma@a", "inschrijving@b", "inschrijving@c", "inschrijving@a",
+	"documenten@a", "documenten@b", "documenten@c",
+}
+
+// prodMemoryMB is the memory of its machines.
+const prodMemoryMB = 284
+
+func prodRoutes() []route {
+	return []route{
+		{"sessions", "sessions.example", "/s/", "safe", "3000ms", "500ms", 2, "programma", 3},
+		{"bookings", "bookings.example", "/b/", "unsafe", "4000ms", "600ms", 1, "inschrijving", 3},
+		{"decks", "decks.example", "/d/", "download", "2500ms", "400ms", 2, "documenten", 3},
+	}
+}
+
+// startProd starts that deployment, with servers that take as long as those of the pages.
+func startProd() (*cluster, error) {
+	c, err := startCluster(options{memoryMB: prodMemoryMB, grace: "6s"}, prod...)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range c.machines {
+		m.server.setSlots(9)
+		m.server.size.Store(5000)
+		switch m.service {
+		case "programma":
+			m.server.work.Store(160e6)
+		case "inschrijving":
+			m.server.work.Store(210e6)
+		case "documenten":
+			m.server.work.Store(130e6)
+			m.server.size.Store(90_000)
+			m.server.varies = true
+		}
+	}
+	c.publish(3, "15000ms", prodRoutes())
+	return c, c.start()
+}
--- /dev/null
+++ b/review/rig3/slowread.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+func init() { scenarios["slowread"] = slowReaders }
+
+const (
+	// slowConns is the number of connections of the crowd, and slowStay how long each stays.
+	slowConns = 760
+	slowStay  = 4300 * time.Millisecond
+)
+
+// slowReaders: a crowd at one machine asks for downloads and reads the answers a few bytes at a time.
+func slowReaders(r *record, trouble bool) (int, error) {
+	return memoryCase(r, func(target *machine, leave chan struct{}, crowd *sync.WaitGroup) {
+		if !trouble {
+			return
+		}
+		r.printf("a crowd of %d connections comes to %s; each asks for one download, reads 64 bytes of it every 50 ms, closes after %s and comes again", slowConns, target.ip, slowStay)
+		for range slowConns {
+			crowd.Go(func() { readSlowly(target, leave) })
+		}
+	})
+}
+
+// readSlowly asks for a download on each connection and reads little of it, until leave is closed.
+func readSlowly(m *machine, leave chan struct{}) {
+	for {
+		select {
+		case <-leave:
+			return
+		default:
+		}
+		conn, err := smallWindows.Dial("tcp", m.addr(callerPort))
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		end := time.Now().Add(slowStay)
+		_ = conn.SetDeadline(end)
+		_, err = conn.Write([]byte(head("GET", "topos.example", "/t/1", newID("crowd"), 4*time.Second, -1, "")))
+		for part := make([]byte, 64); err == nil; time.Sleep(50 * time.Millisecond) {
+			_, err = conn.Read(part)
+		}
+		_ = conn.Close()
+	}
+}
