Show that callers who read downloads slowly take a node beyond its memory

Seen: 760 connections that ask for two downloads each and hardly read take the node above 112 MiB in 2 to 4 s. The platform's stand-in kills it there, and requests from kept connections lose their answers.

--- a/review/rig3/slowread.go
+++ b/review/rig3/slowread.go
@@ -10,6 +10,8 @@
 const (
 	// slowConns is the number of connections of the crowd, and slowStay how long each stays.
 	slowConns = 760
+	// downloads is how many downloads each connection asks for at once.
+	downloads = 2
 	slowStay  = 4300 * time.Millisecond
 )
 
@@ -19,7 +21,7 @@
 		if !trouble {
 			return
 		}
-		r.printf("a crowd of %d connections comes to %s; each asks for one download, reads 64 bytes of it every 50 ms, closes after %s and comes again", slowConns, target.ip, slowStay)
+		r.printf("a crowd of %d connections comes to %s; each asks for %d downloads, reads 64 bytes every 50 ms, closes after %s and comes again", slowConns, target.ip, downloads, slowStay)
 		for range slowConns {
 			crowd.Go(func() { readSlowly(target, leave) })
 		}
@@ -41,7 +43,9 @@
 		}
 		end := time.Now().Add(slowStay)
 		_ = conn.SetDeadline(end)
-		_, err = conn.Write([]byte(head("GET", "topos.example", "/t/1", newID("crowd"), 4*time.Second, -1, "")))
+		for range downloads {
+			_, err = conn.Write([]byte(head("GET", "topos.example", "/t/1", newID("crowd"), 4*time.Second, -1, "")))
+		}
 		for part := make([]byte, 64); err == nil; time.Sleep(50 * time.Millisecond) {
 			_, err = conn.Read(part)
 		}
