--- a/review/rig3/fields.go
+++ b/review/rig3/fields.go
@@ -23,7 +23,8 @@
 	restartDelay = 500 * time.Millisecond
 )
 
-// watchMemory ends each process that exceeds the memory of its machine, as the platform does, and starts it again. It
+// watchMemory ends each process that exceeds the memory of its machine, as the platform does, and starts it again. The
+// memory of a process is counted without the pages of its files. It
 // returns when stop is closed.
 func (c *cluster) watchMemory(r *record, stop chan struct{}, peak map[string]int64, ends map[string]int) {
 	for {
@@ -33,7 +34,7 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 		for _, m := range c.machines {
-			used := m.memory("VmRSS")
+			used := m.memory("RssAnon")
 			peak[m.ip] = max(peak[m.ip], used)
 			if used <= int64(c.opts.memoryMB)<<20 {
 				continue
